--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -9,7 +9,9 @@
         return()
     endif()
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS "*_test.cpp")
-    add_executable(${program} ${sources})
+    list(FILTER sources EXCLUDE REGEX "/main_test\\.cpp$")
+    add_executable(${program} ${sources}
+        "${PROJECT_SOURCE_DIR}/src/libhibiscustide/main_test.cpp")
     target_compile_definitions(${program} PRIVATE
         DOCTEST_CONFIG_SUPER_FAST_ASSERTS
         HIBISCUSTIDE_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/src/hibnode/main.cpp
+++ b/src/hibnode/main.cpp
@@ -119,6 +119,7 @@
     if (auto const failure = node.start())
     {
         net::log_event(event::listen_failed, {{"error", *failure}});
+        net::flush_event_log();
         return exit_failure;
     }
     node.run();
--- /dev/null
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -0,0 +1,91 @@
+/// \file
+/// What a gate concludes about its target from probes and from traffic.
+#ifndef HIBISCUSTIDE_CORE_ADMISSION_TARGET_HEALTH_HPP
+#define HIBISCUSTIDE_CORE_ADMISSION_TARGET_HEALTH_HPP
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <hibiscustide/core/time.hpp>
+
+namespace hibiscustide::core::admission
+{
+
+/// One answer of a target's health endpoint.
+struct health_answer
+{
+    bool m_healthy = false;
+    std::string m_instance; ///< Empty where the answer names none.
+    std::chrono::milliseconds m_warm_up_left{0};
+    std::uint32_t m_slowness = 100; ///< Work time now, in percent of the usual.
+
+    friend auto operator<=>(health_answer const&, health_answer const&) =
+        default;
+};
+
+/// What became of a request, as far as it tells of the target.
+enum class target_outcome
+{
+    answered, ///< A whole answer that is no failure of the target.
+    failed,   ///< An error, a broken answer, a reset or silence.
+    refused,  ///< The target turned it away.
+};
+
+/// Follows the state of one target. A health endpoint can lag or mislead, so
+/// connections and requests decide, and what it says of speed and of warming up
+/// is taken over. Not thread-safe.
+class target_health
+{
+public:
+    /// Without any probe's answer for this long a target that takes
+    /// connections counts as up.
+    static constexpr std::chrono::milliseconds probe_patience{1'500};
+
+    /// How long a share of failures takes to halve when nothing is sent.
+    static constexpr std::chrono::milliseconds failure_half_life{1'500};
+
+    explicit target_health(time_point now) noexcept;
+
+    /// A probe was answered. Gives whether the target has turned cold or
+    /// started anew.
+    bool on_probe(health_answer const& answer, time_point now);
+
+    /// A probe got no answer. `refused` where no connection could be made.
+    void on_probe_failed(bool refused, time_point now) noexcept;
+
+    /// A request's connection was refused.
+    void on_connect_failed(time_point now) noexcept;
+
+    void on_outcome(target_outcome what, time_point now) noexcept;
+
+    /// Whether requests may be sent.
+    [[nodiscard]] bool is_up(time_point now) const noexcept;
+
+    /// Whether the target bears only its cold rate.
+    [[nodiscard]] bool is_cold(time_point now) const noexcept;
+
+    /// Recent failures among requests, 0 to 1.
+    [[nodiscard]] double failure_share(time_point now) const noexcept;
+
+    [[nodiscard]] std::uint32_t slowness() const noexcept;
+
+    /// The instance that answered the last probe; empty before.
+    [[nodiscard]] std::string const& instance() const noexcept;
+
+private:
+    std::string m_instance;
+    std::uint32_t m_slowness = 100;
+    time_point m_started_at;
+    time_point m_failed_at{};
+    time_point m_cold_until{};
+    std::optional<time_point> m_answered_at;
+    bool m_refused = false;
+    double m_failures = 0;
+};
+
+} // namespace hibiscustide::core::admission
+
+#endif
--- /dev/null
+++ b/src/include/hibiscustide/core/directory/reading.hpp
@@ -0,0 +1,41 @@
+/// \file
+/// Decides which nodes read the publishing service.
+#ifndef HIBISCUSTIDE_CORE_DIRECTORY_READING_HPP
+#define HIBISCUSTIDE_CORE_DIRECTORY_READING_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include <hibiscustide/core/time.hpp>
+
+namespace hibiscustide::core::directory
+{
+
+/// In each failure domain the node of the highest rank that gets through
+/// reads; the others hear from it. Ranks are hashes of addresses, so no
+/// election is needed, and a node that has heard from no reader for a while
+/// reads itself. Not thread-safe.
+class reading_duty
+{
+public:
+    /// A reader that says nothing for this long is replaced.
+    static constexpr std::chrono::milliseconds reader_silence{1'000};
+
+    explicit reading_duty(std::string_view own_address);
+
+    /// A node of the own domain says whether it reads.
+    void on_peer(std::string_view address, bool reads, time_point now);
+
+    /// Whether this node reads.
+    [[nodiscard]] bool is_due(time_point now) const noexcept;
+
+private:
+    std::uint64_t m_own_rank;
+    std::optional<time_point> m_heard_at; ///< From a reader of higher rank.
+};
+
+} // namespace hibiscustide::core::directory
+
+#endif
--- /dev/null
+++ b/src/include/hibiscustide/core/directory/target.hpp
@@ -0,0 +1,32 @@
+/// \file
+/// A target as it registered itself.
+#ifndef HIBISCUSTIDE_CORE_DIRECTORY_TARGET_HPP
+#define HIBISCUSTIDE_CORE_DIRECTORY_TARGET_HPP
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include <hibiscustide/core/endpoint.hpp>
+
+namespace hibiscustide::core::directory
+{
+
+struct target
+{
+    std::string m_instance; ///< Names one start of the target.
+    std::string m_service;
+    endpoint m_address;
+    std::string m_failure_domain;
+    std::uint32_t m_slots = 1; ///< Requests that it runs at once.
+    bool m_draining = false;
+    std::chrono::milliseconds m_warm_up_left{0}; ///< When it registered.
+    std::int64_t m_born_ms = 0; ///< Unix time of its start; 0 if untold.
+
+    friend auto operator<=>(target const&, target const&) = default;
+};
+
+} // namespace hibiscustide::core::directory
+
+#endif
--- /dev/null
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -0,0 +1,102 @@
+/// \file
+/// Chooses the target that is expected to finish a request first.
+#ifndef HIBISCUSTIDE_CORE_ROUTING_PLACEMENT_HPP
+#define HIBISCUSTIDE_CORE_ROUTING_PLACEMENT_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include <hibiscustide/core/time.hpp>
+
+namespace hibiscustide::core::routing
+{
+
+/// What a node tells its peers of the target beside it.
+struct target_report
+{
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+    std::uint32_t m_slots = 1;
+    std::uint32_t m_slowness = 100; ///< Work time now, in percent of the usual.
+    std::uint32_t m_failing = 0;    ///< Percent of recent requests that failed.
+    std::uint32_t m_cold_left = 0;  ///< Requests a cold target still bears now.
+    bool m_cold = false;
+    bool m_open = true; ///< Whether the target takes new requests at all.
+
+    friend auto operator<=>(target_report const&, target_report const&) =
+        default;
+};
+
+/// One target as seen from one node. The report is old when it arrives; the
+/// requests sent since it was taken are added to it. Not thread-safe.
+class target_view
+{
+public:
+    /// A report with a higher sequence number replaces the one before.
+    void on_report(
+        target_report const& report, std::uint64_t sequence, time_point now);
+
+    /// The report of the own target, which is never old.
+    void on_own_report(target_report const& report, time_point now);
+
+    /// A request is sent there.
+    void on_sent() noexcept;
+
+    /// One has ended.
+    void on_ended() noexcept;
+
+    /// The node there can't be reached, or its target fails requests: it is
+    /// left out for a while that doubles with each failure in a row.
+    void on_failed(time_point now) noexcept;
+
+    /// A request was answered.
+    void on_answered() noexcept;
+
+    [[nodiscard]] bool is_left_out(time_point now) const noexcept;
+    [[nodiscard]] target_report const& report() const noexcept;
+    [[nodiscard]] time_point reported_at() const noexcept;
+
+    /// Requests believed to be at the target.
+    [[nodiscard]] double load() const noexcept;
+
+private:
+    target_report m_report;
+    std::uint64_t m_sequence = 0;
+    time_point m_reported_at{};
+    time_point m_left_out_until{};
+    std::uint32_t m_in_flight = 0;
+    std::uint32_t m_sent_since_report = 0;
+    std::uint32_t m_failures = 0;
+};
+
+/// A target that may be chosen. The view is owned by the caller.
+struct placement_candidate
+{
+    target_view const* m_view = nullptr;
+    bool m_same_domain = false;
+    bool m_excluded = false; ///< It has refused or failed this request.
+};
+
+/// The price of leaving the failure domain, in usual work times.
+inline constexpr double distance_cost = 0.5;
+
+/// Expected time to completion in usual work times.
+[[nodiscard]] double expected_cost(placement_candidate const& candidate);
+
+/// The position of the candidate with the least expected cost; targets that
+/// are left out only where no other is there. Nothing where all are excluded.
+/// `tie` rotates the order, so that nodes that see the same don't all choose
+/// the same.
+///
+/// Answers a neighbour's noise: a quarter of the targets work up to seven
+/// times as long for half a second, and others the next half second.
+[[nodiscard]] std::optional<std::size_t> place(
+    std::span<placement_candidate const> candidates, std::size_t tie,
+    time_point now);
+
+} // namespace hibiscustide::core::routing
+
+#endif
--- /dev/null
+++ b/src/include/hibiscustide/core/routing/route_table.hpp
@@ -0,0 +1,64 @@
+/// \file
+/// Finds the route of a request and the service that gets it.
+#ifndef HIBISCUSTIDE_CORE_ROUTING_ROUTE_TABLE_HPP
+#define HIBISCUSTIDE_CORE_ROUTING_ROUTE_TABLE_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <hibiscustide/core/directory/configuration.hpp>
+
+namespace hibiscustide::core::routing
+{
+
+/// Deals the requests of one route to its services by weight. Smooth weighted
+/// round robin: after any number of requests each service's share is within
+/// one request of its weight.
+class weighted_turns
+{
+public:
+    explicit weighted_turns(
+        std::vector<directory::weighted_service> const& services);
+
+    /// The position of the service that gets the next request.
+    [[nodiscard]] std::size_t next() noexcept;
+
+private:
+    std::vector<std::int64_t> m_weights;
+    std::vector<std::int64_t> m_credit;
+    std::int64_t m_total = 0;
+};
+
+/// The routes of one configuration, by host and longest prefix. Not
+/// thread-safe, since it deals turns.
+class route_table
+{
+public:
+    struct entry
+    {
+        directory::route const* m_route = nullptr;
+        weighted_turns m_turns;
+    };
+
+    route_table() = default;
+    explicit route_table(
+        std::shared_ptr<directory::configuration const> config);
+
+    /// The route of the longest prefix that the path begins with, or null. A
+    /// port after the host and a query after the path are left out of account.
+    [[nodiscard]] entry* find(std::string_view host, std::string_view path);
+
+private:
+    using by_prefix = std::map<std::string, entry, std::less<>>;
+
+    std::shared_ptr<directory::configuration const> m_config;
+    std::map<std::string, by_prefix, std::less<>> m_hosts;
+};
+
+} // namespace hibiscustide::core::routing
+
+#endif
--- a/src/include/hibiscustide/core/verdict.hpp
+++ b/src/include/hibiscustide/core/verdict.hpp
@@ -41,6 +41,11 @@
     answer_too_large,
     caller_left,
     retry_budget_spent,
+    target_cold,
+    peer_unreachable,
+    no_configuration,
+    no_route,
+    gate_restarted,
 };
 
 /// The name of a reason as it stands in headers, logs and reports.
--- /dev/null
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -0,0 +1,88 @@
+#include <hibiscustide/core/admission/target_health.hpp>
+
+#include <cmath>
+
+namespace hibiscustide::core::admission
+{
+
+namespace
+{
+
+// Weight of one request in the share of failures.
+constexpr double outcome_weight = 0.2;
+
+} // namespace
+
+target_health::target_health(time_point now) noexcept
+    : m_started_at{now}
+{
+}
+
+bool target_health::on_probe(health_answer const& answer, time_point now)
+{
+    bool const was_cold = is_cold(now);
+    bool const is_new =
+        !answer.m_instance.empty() && answer.m_instance != m_instance;
+    if (is_new)
+    {
+        m_instance = answer.m_instance;
+        m_failures = 0;
+    }
+    m_answered_at = now;
+    m_refused = false;
+    m_slowness = answer.m_slowness;
+    m_cold_until = now + answer.m_warm_up_left;
+    bool const cold = answer.m_warm_up_left.count() > 0;
+    return cold && (!was_cold || is_new);
+}
+
+void target_health::on_probe_failed(bool refused, time_point /*now*/) noexcept
+{
+    m_refused = refused;
+}
+
+void target_health::on_connect_failed(time_point /*now*/) noexcept
+{
+    m_refused = true;
+}
+
+void target_health::on_outcome(target_outcome what, time_point now) noexcept
+{
+    double const sample = what == target_outcome::answered ? 0.0 : 1.0;
+    m_failures =
+        failure_share(now) * (1 - outcome_weight) + sample * outcome_weight;
+    m_failed_at = now;
+}
+
+bool target_health::is_up(time_point now) const noexcept
+{
+    if (m_refused)
+    {
+        return false;
+    }
+    return m_answered_at.has_value() || now - m_started_at > probe_patience;
+}
+
+bool target_health::is_cold(time_point now) const noexcept
+{
+    return now < m_cold_until;
+}
+
+double target_health::failure_share(time_point now) const noexcept
+{
+    std::chrono::duration<double> const passed = now - m_failed_at;
+    std::chrono::duration<double> const half = failure_half_life;
+    return m_failures * std::exp2(-passed.count() / half.count());
+}
+
+std::uint32_t target_health::slowness() const noexcept
+{
+    return m_slowness;
+}
+
+std::string const& target_health::instance() const noexcept
+{
+    return m_instance;
+}
+
+} // namespace hibiscustide::core::admission
--- /dev/null
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -0,0 +1,97 @@
+#include <hibiscustide/core/config/mesh_settings.hpp>
+
+#include <array>
+#include <string_view>
+
+#include <hibiscustide/core/config/setting_checker.hpp>
+
+namespace hibiscustide::core::config
+{
+
+namespace
+{
+
+constexpr auto log_levels =
+    std::to_array<std::string_view>({"debug", "info", "warn", "error"});
+
+constexpr bounds<std::uint64_t> probe_ms_bounds{5, 10'000};
+constexpr bounds<std::uint64_t> window_s_bounds{1, 3'600};
+constexpr bounds<std::uint64_t> stop_ms_bounds{0, 600'000};
+constexpr bounds<std::uint64_t> port_bounds{1, 65'535};
+constexpr bounds<double> ratio_bounds{0.0, 1.0};
+constexpr bounds<double> slack_bounds{0.0, 1e6};
+
+struct port_range
+{
+    std::uint16_t m_first = 0;
+    std::uint16_t m_last = 0;
+};
+
+// "FIRST,LAST", two ports at least.
+port_range read_ports(setting_checker& check, std::string const& text)
+{
+    auto const comma = text.find(',');
+    if (comma == std::string::npos)
+    {
+        check.reject("--peer-ports", "'" + text + "' is not FIRST,LAST");
+        return {};
+    }
+    auto const first =
+        check.count("--peer-ports", text.substr(0, comma), port_bounds);
+    auto const last =
+        check.count("--peer-ports", text.substr(comma + 1), port_bounds);
+    if (first >= last)
+    {
+        check.reject("--peer-ports", "two ports at least are needed");
+    }
+    return {
+        .m_first = static_cast<std::uint16_t>(first),
+        .m_last = static_cast<std::uint16_t>(last)};
+}
+
+} // namespace
+
+checked<mesh_settings> check_settings(mesh_settings_text const& text)
+{
+    using std::chrono::milliseconds;
+    setting_checker check;
+    auto const peer_address = check.text("--peer-address", text.m_peer_address);
+    auto const ports = read_ports(check, text.m_peer_ports);
+    mesh_settings settings{
+        .m_name = check.text("--name", text.m_name),
+        .m_failure_domain =
+            check.text("--failure-domain", text.m_failure_domain),
+        .m_service = check.text("--service", text.m_service),
+        .m_target = check.address("--target", text.m_target),
+        .m_caller_listen =
+            check.address("--caller-listen", text.m_caller_listen),
+        .m_ready_listen = check.address("--ready-listen", text.m_ready_listen),
+        .m_peer_listen = {.m_address = peer_address, .m_port = ports.m_first},
+        .m_admin_listen = {.m_address = peer_address, .m_port = ports.m_last},
+        .m_publisher = check.address("--publisher", text.m_publisher),
+        .m_log_level =
+            check.one_of("--log-level", text.m_log_level, log_levels),
+        .m_probe_interval = milliseconds{check.count(
+            "--probe-interval-ms", text.m_probe_interval_ms, probe_ms_bounds)},
+        .m_retry_ratio =
+            check.share("--retry-ratio", text.m_retry_ratio, ratio_bounds),
+        .m_retry_window = std::chrono::seconds{check.count(
+            "--retry-window-s", text.m_retry_window_s, window_s_bounds)},
+        .m_retry_slack =
+            check.share("--retry-slack", text.m_retry_slack, slack_bounds),
+        .m_stop_limit = milliseconds{check.count(
+            "--stop-limit-ms", text.m_stop_limit_ms, stop_ms_bounds)}};
+    auto const peer =
+        parse_endpoint(peer_address + ":" + std::to_string(ports.m_first));
+    if (!peer_address.empty() && !peer)
+    {
+        check.reject("--peer-address", "'" + peer_address + "' is no IP");
+    }
+    if (!check.errors().empty())
+    {
+        return check.errors();
+    }
+    return settings;
+}
+
+} // namespace hibiscustide::core::config
--- a/src/libhibiscustide/core/config/node_settings.cpp
+++ b/src/libhibiscustide/core/config/node_settings.cpp
@@ -1,10 +1,8 @@
 #include <hibiscustide/core/config/node_settings.hpp>
 
-#include <algorithm>
 #include <array>
-#include <charconv>
 
-#include <hibiscustide/core/json_reader.hpp>
+#include <hibiscustide/core/config/setting_checker.hpp>
 #include <hibiscustide/core/routing/policy.hpp>
 
 namespace hibiscustide::core::config
@@ -22,88 +20,6 @@
 constexpr bounds<std::uint64_t> body_bounds{1'024, 67'108'864};
 constexpr bounds<std::uint64_t> node_count_bounds{1, 1'000'000};
 
-class setting_checker
-{
-public:
-    [[nodiscard]] std::string text(char const* flag, std::string const& value)
-    {
-        if (value.empty())
-        {
-            reject(flag, "is missing");
-        }
-        return value;
-    }
-
-    [[nodiscard]] endpoint address(char const* flag, std::string const& value)
-    {
-        if (value.empty())
-        {
-            reject(flag, "is missing");
-            return {};
-        }
-        auto parsed = parse_endpoint(value);
-        if (!parsed)
-        {
-            reject(flag, "'" + value + "' is no IP address with a port");
-            return {};
-        }
-        return *parsed;
-    }
-
-    [[nodiscard]] std::uint64_t count(
-        char const* flag, std::string const& value,
-        bounds<std::uint64_t> allowed)
-    {
-        std::uint64_t number = 0;
-        auto const* const end = value.data() + value.size();
-        auto const [last, error] = std::from_chars(value.data(), end, number);
-        bool const good = error == std::errc{} && last == end &&
-                          number >= allowed.m_least &&
-                          number <= allowed.m_greatest;
-        if (!good)
-        {
-            reject(
-                flag, "'" + value + "' is no whole number between " +
-                          std::to_string(allowed.m_least) + " and " +
-                          std::to_string(allowed.m_greatest));
-            return allowed.m_least;
-        }
-        return number;
-    }
-
-    template <typename Names>
-    [[nodiscard]] std::string one_of(
-        char const* flag, std::string const& value, Names const& names)
-    {
-        if (std::find(names.begin(), names.end(), value) != names.end())
-        {
-            return value;
-        }
-        std::string listed;
-        for (auto const& name : names)
-        {
-            listed += listed.empty() ? "" : ", ";
-            listed += name;
-        }
-        reject(flag, "'" + value + "' is none of " + listed);
-        return value;
-    }
-
-    [[nodiscard]] field_errors const& errors() const
-    {
-        return m_errors;
-    }
-
-private:
-    void reject(char const* flag, std::string const& why)
-    {
-        m_errors.push_back(
-            {.m_source = "settings", .m_field = flag, .m_reason = why});
-    }
-
-    field_errors m_errors;
-};
-
 } // namespace
 
 checked<node_settings> check_settings(node_settings_text const& text)
--- /dev/null
+++ b/src/libhibiscustide/core/directory/directory.cpp
@@ -0,0 +1,158 @@
+#include <hibiscustide/core/directory/directory.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace hibiscustide::core::directory
+{
+
+directory::directory(
+    std::shared_ptr<configuration const> config, std::vector<target> targets,
+    std::set<std::string> withdrawn)
+    : m_config{std::move(config)},
+      m_targets{std::move(targets)},
+      m_withdrawn{std::move(withdrawn)}
+{
+}
+
+configuration const& directory::config() const noexcept
+{
+    return *m_config;
+}
+
+std::vector<target> const& directory::targets() const noexcept
+{
+    return m_targets;
+}
+
+bool directory::is_withdrawn(std::string_view failure_domain) const
+{
+    return m_withdrawn.contains(std::string{failure_domain});
+}
+
+bool directory::is_in_service(target const& which) const
+{
+    return !which.m_draining && !is_withdrawn(which.m_failure_domain);
+}
+
+target const* directory::find(std::string_view instance) const noexcept
+{
+    auto const it = std::lower_bound(
+        m_targets.begin(), m_targets.end(), instance,
+        [](target const& entry, std::string_view wanted)
+        {
+            return entry.m_instance < wanted;
+        });
+    bool const found = it != m_targets.end() && it->m_instance == instance;
+    return found ? &*it : nullptr;
+}
+
+target const* directory::find_at(endpoint const& address) const noexcept
+{
+    target const* youngest = nullptr;
+    for (auto const& entry : m_targets)
+    {
+        bool const is_younger =
+            youngest == nullptr || entry.m_born_ms > youngest->m_born_ms;
+        if (entry.m_address == address && is_younger)
+        {
+            youngest = &entry;
+        }
+    }
+    return youngest;
+}
+
+bool operator==(directory const& left, directory const& right)
+{
+    return *left.m_config == *right.m_config &&
+           left.m_targets == right.m_targets &&
+           left.m_withdrawn == right.m_withdrawn;
+}
+
+bool directory_state::put(configuration config)
+{
+    if (config.m_version <= m_config->m_version)
+    {
+        return false;
+    }
+    m_config = std::make_shared<configuration const>(std::move(config));
+    return true;
+}
+
+void directory_state::put(target entry)
+{
+    m_leaving.erase(entry.m_instance);
+    auto const instance = entry.m_instance;
+    m_targets.insert_or_assign(instance, std::move(entry));
+}
+
+void directory_state::remove(std::string_view instance, time_point now)
+{
+    auto const it = m_targets.find(instance);
+    if (it == m_targets.end())
+    {
+        return;
+    }
+    if (it->second.m_draining)
+    {
+        m_targets.erase(it);
+        return;
+    }
+    time_point until = now + removal_grace;
+    if (m_returned_at)
+    {
+        until = std::max<time_point>(until, *m_returned_at + return_grace);
+    }
+    m_leaving.emplace(it->first, until);
+}
+
+void directory_state::withdraw(std::string const& failure_domain)
+{
+    m_withdrawn.insert(failure_domain);
+}
+
+void directory_state::restore(std::string const& failure_domain)
+{
+    m_withdrawn.erase(failure_domain);
+}
+
+void directory_state::service_returned(time_point now) noexcept
+{
+    m_returned_at = now;
+}
+
+std::optional<time_point> directory_state::expire(time_point now)
+{
+    std::optional<time_point> next;
+    for (auto it = m_leaving.begin(); it != m_leaving.end();)
+    {
+        if (it->second <= now)
+        {
+            m_targets.erase(it->first);
+            it = m_leaving.erase(it);
+            continue;
+        }
+        next = std::min(next.value_or(it->second), it->second);
+        ++it;
+    }
+    return next;
+}
+
+std::uint64_t directory_state::version() const noexcept
+{
+    return m_config->m_version;
+}
+
+directory_ptr directory_state::view() const
+{
+    std::vector<target> targets;
+    targets.reserve(m_targets.size());
+    for (auto const& [instance, entry] : m_targets)
+    {
+        targets.push_back(entry);
+    }
+    return std::make_shared<directory const>(
+        m_config, std::move(targets), m_withdrawn);
+}
+
+} // namespace hibiscustide::core::directory
--- /dev/null
+++ b/src/libhibiscustide/core/directory/replica.cpp
@@ -0,0 +1,117 @@
+#include <hibiscustide/core/directory/replica.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace hibiscustide::core::directory
+{
+
+std::vector<item> replica::apply(item_changes const& changes)
+{
+    std::vector<item> fresh;
+    if (!follows(changes))
+    {
+        return fresh;
+    }
+    auto const take = [&](item const& change)
+    {
+        auto& known = m_items[change.m_key];
+        bool const is_news = known.m_revision < change.m_revision;
+        if (!is_news)
+        {
+            return;
+        }
+        bool const was_there = known.m_revision > 0 && !known.m_removed;
+        bool const was_removed = known.m_revision > 0 && known.m_removed;
+        known = change;
+        m_removals += change.m_removed ? 1 : 0;
+        m_removals -= was_removed ? 1 : 0;
+        if (!change.m_removed || was_there)
+        {
+            fresh.push_back(change);
+        }
+    };
+    for (auto const& change : changes.m_items)
+    {
+        take(change);
+    }
+    if (changes.m_complete)
+    {
+        std::set<std::string> named;
+        for (auto const& change : changes.m_items)
+        {
+            named.insert(change.m_key);
+        }
+        for (auto const& [key, known] : m_items)
+        {
+            bool const is_gone = !known.m_removed && !named.contains(key) &&
+                                 known.m_revision <= changes.m_revision;
+            if (is_gone)
+            {
+                take(
+                    {.m_key = key,
+                     .m_revision = changes.m_revision,
+                     .m_removed = true});
+            }
+        }
+        // What else happened before this revision is not known.
+        m_history_begins = std::max(m_history_begins, changes.m_revision);
+        if (m_revision == 0)
+        {
+            m_history_begins = changes.m_revision;
+        }
+    }
+    m_revision = std::max(m_revision, changes.m_revision);
+    forget_old_removals();
+    return fresh;
+}
+
+bool replica::follows(item_changes const& changes) const noexcept
+{
+    if (changes.m_revision < m_revision)
+    {
+        return false;
+    }
+    return changes.m_complete || changes.m_after <= m_revision;
+}
+
+item_changes replica::changes_after(std::uint64_t revision) const
+{
+    item_changes changes{
+        .m_after = revision,
+        .m_revision = m_revision,
+        .m_complete = revision < m_history_begins};
+    for (auto const& [key, known] : m_items)
+    {
+        bool const is_wanted =
+            changes.m_complete ? !known.m_removed : known.m_revision > revision;
+        if (is_wanted)
+        {
+            changes.m_items.push_back(known);
+        }
+    }
+    return changes;
+}
+
+std::uint64_t replica::revision() const noexcept
+{
+    return m_revision;
+}
+
+void replica::forget_old_removals()
+{
+    if (m_removals <= max_removals)
+    {
+        return;
+    }
+    m_history_begins = m_revision;
+    std::erase_if(
+        m_items,
+        [](auto const& entry)
+        {
+            return entry.second.m_removed;
+        });
+    m_removals = 0;
+}
+
+} // namespace hibiscustide::core::directory
--- /dev/null
+++ b/src/libhibiscustide/core/retry/repeat.cpp
@@ -0,0 +1,64 @@
+#include <hibiscustide/core/retry/repeat.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace hibiscustide::core::retry
+{
+
+namespace
+{
+
+// Work varies, so an answer is taken for lost only well past its time.
+constexpr double lost_after = 2.5;
+
+// The second attempt must be earlier by this part of the usual work.
+constexpr double least_gain = 0.3;
+
+} // namespace
+
+progress::progress(duration usual_work, time_point began_at) noexcept
+    : m_usual_work{std::max<duration>(
+          usual_work, std::chrono::milliseconds{1})},
+      m_at{began_at}
+{
+}
+
+void progress::advance(std::uint32_t slowness, time_point now) noexcept
+{
+    std::chrono::duration<double> const passed = now - m_at;
+    std::chrono::duration<double> const usual = m_usual_work;
+    double const factor = std::max<std::uint32_t>(slowness, 20) / 100.0;
+    m_done += passed / usual / factor;
+    m_at = now;
+}
+
+double progress::done() const noexcept
+{
+    return m_done;
+}
+
+bool is_worth_repeating(repeat_question const& question) noexcept
+{
+    using seconds = std::chrono::duration<double>;
+    seconds const usual = question.m_usual_work;
+    seconds const objective = question.m_objective_left;
+    seconds const there = usual * question.m_other_cost;
+    if (there > seconds{question.m_deadline_left})
+    {
+        return false;
+    }
+    bool const is_lost = question.m_unreachable || question.m_done > lost_after;
+    if (is_lost)
+    {
+        return true;
+    }
+    double const slowness = question.m_slowness / 100.0;
+    double const missing = std::max(0.1, 1.0 - question.m_done);
+    seconds const here = usual * missing * slowness;
+    bool const misses = here > objective;
+    bool const helps = there < objective;
+    return misses && helps && there + usual * least_gain < here;
+}
+
+} // namespace hibiscustide::core::retry
--- /dev/null
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -0,0 +1,142 @@
+#include <hibiscustide/core/routing/placement.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace hibiscustide::core::routing
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds first_leave_out{150};
+constexpr std::chrono::milliseconds longest_leave_out{2'000};
+
+// A cold target works at about half its speed.
+constexpr double cold_factor = 2.0;
+
+// A request that fails costs its caller this many usual work times.
+constexpr double failure_cost = 6.0;
+
+// Work slows down while many requests share a target.
+constexpr double crowding = 1.0;
+
+} // namespace
+
+void target_view::on_report(
+    target_report const& report, std::uint64_t sequence, time_point now)
+{
+    if (sequence <= m_sequence)
+    {
+        return;
+    }
+    m_sequence = sequence;
+    m_report = report;
+    m_reported_at = now;
+    m_sent_since_report = 0;
+}
+
+void target_view::on_own_report(target_report const& report, time_point now)
+{
+    m_report = report;
+    m_reported_at = now;
+    m_sent_since_report = 0;
+}
+
+void target_view::on_sent() noexcept
+{
+    ++m_in_flight;
+    ++m_sent_since_report;
+}
+
+void target_view::on_ended() noexcept
+{
+    m_in_flight -= m_in_flight > 0 ? 1 : 0;
+}
+
+void target_view::on_failed(time_point now) noexcept
+{
+    auto const doublings = std::min<std::uint32_t>(m_failures, 4);
+    ++m_failures;
+    m_left_out_until =
+        now + std::min(first_leave_out * (1 << doublings), longest_leave_out);
+}
+
+void target_view::on_answered() noexcept
+{
+    m_failures = 0;
+}
+
+bool target_view::is_left_out(time_point now) const noexcept
+{
+    return now < m_left_out_until;
+}
+
+target_report const& target_view::report() const noexcept
+{
+    return m_report;
+}
+
+time_point target_view::reported_at() const noexcept
+{
+    return m_reported_at;
+}
+
+double target_view::load() const noexcept
+{
+    double const reported =
+        m_report.m_running + m_report.m_waiting + m_sent_since_report;
+    return std::max<double>(reported, m_in_flight);
+}
+
+double expected_cost(placement_candidate const& candidate)
+{
+    auto const& view = *candidate.m_view;
+    auto const& report = view.report();
+    double const slots = std::max<std::uint32_t>(report.m_slots, 1);
+    double const slowness =
+        std::max<std::uint32_t>(report.m_slowness, 50) / 100.0;
+    double const load = view.load();
+    double const beyond = std::max(0.0, load + 1 - slots) / slots;
+    double cost = slowness * (1.0 + crowding * load / slots + beyond);
+    if (report.m_cold)
+    {
+        cost *= cold_factor;
+    }
+    cost += failure_cost * report.m_failing / 100.0;
+    return cost + (candidate.m_same_domain ? 0.0 : distance_cost);
+}
+
+std::optional<std::size_t> place(
+    std::span<placement_candidate const> candidates, std::size_t tie,
+    time_point now)
+{
+    // Targets that are left out or say that they take nothing come behind the
+    // others, whatever they would cost.
+    constexpr double behind = 1e6;
+    std::optional<std::size_t> best;
+    double least = std::numeric_limits<double>::max();
+    for (std::size_t n = 0; n < candidates.size(); ++n)
+    {
+        auto const position = (n + tie) % candidates.size();
+        auto const& candidate = candidates[position];
+        if (candidate.m_excluded)
+        {
+            continue;
+        }
+        auto const& report = candidate.m_view->report();
+        bool const takes_work =
+            report.m_open && (!report.m_cold || report.m_cold_left > 0);
+        double cost = expected_cost(candidate);
+        cost += candidate.m_view->is_left_out(now) ? behind : 0.0;
+        cost += takes_work ? 0.0 : behind;
+        if (cost < least)
+        {
+            least = cost;
+            best = position;
+        }
+    }
+    return best;
+}
+
+} // namespace hibiscustide::core::routing
--- a/src/libhibiscustide/core/verdict.cpp
+++ b/src/libhibiscustide/core/verdict.cpp
@@ -38,6 +38,11 @@
     {reason::answer_too_large, "answer-too-large"},
     {reason::caller_left, "caller-left"},
     {reason::retry_budget_spent, "retry-budget-spent"},
+    {reason::target_cold, "target-cold"},
+    {reason::peer_unreachable, "peer-unreachable"},
+    {reason::no_configuration, "no-configuration"},
+    {reason::no_route, "no-route"},
+    {reason::gate_restarted, "gate-restarted"},
 });
 
 struct verdict_name
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -1,11 +1,14 @@
 #include "net/connection_pool.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include "net/socket.hpp"
 
@@ -34,6 +37,60 @@
     return core::reason::connection_broken;
 }
 
+// Late answers that are skipped before a connection is given up.
+constexpr int max_skipped = 2;
+
+// Taken off what a server says it keeps an idle connection for, since a
+// request that crosses its close is lost.
+constexpr std::chrono::milliseconds idle_margin{1'000};
+
+// How long the connection may be idle by the response's Keep-Alive field.
+core::duration idle_limit_of(
+    http_response const& response, core::duration otherwise)
+{
+    constexpr std::string_view name = "timeout=";
+    auto const value = response[field::keep_alive];
+    std::string_view const text{value.data(), value.size()};
+    auto const at = text.find(name);
+    std::uint32_t seconds = 0;
+    if (at == std::string_view::npos)
+    {
+        return otherwise;
+    }
+    auto const number = text.substr(at + name.size());
+    std::from_chars(number.data(), number.data() + number.size(), seconds);
+    core::duration const told = std::chrono::seconds{seconds};
+    return std::max<core::duration>(told - idle_margin, told / 4);
+}
+
+// A request that is being written; owned by the write, which may end after
+// the exchange.
+struct sending_request
+{
+    explicit sending_request(http_request const& request)
+        : m_request{request}
+    {
+    }
+
+    http_request m_request;
+    beast::error_code m_error;
+    std::size_t m_written = 0;
+    bool m_done = false;
+};
+
+void begin_write(
+    beast::tcp_stream& stream, std::shared_ptr<sending_request> const& sending)
+{
+    beast::http::async_write(
+        stream, sending->m_request,
+        [sending](beast::error_code error, std::size_t written)
+        {
+            sending->m_done = true;
+            sending->m_error = error;
+            sending->m_written = written;
+        });
+}
+
 } // namespace
 
 struct connection_pool::connection
@@ -56,6 +113,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     core::time_point m_idle_since;
+    core::duration m_idle_limit{};
     // Shared, since a call that is broken off when the process ends may outlive
     // its pool.
     std::shared_ptr<std::size_t> m_open;
@@ -71,9 +129,10 @@
 connection_pool::~connection_pool() = default;
 
 awaitable<exchange_result> connection_pool::exchange(
-    http_request const& request, core::time_point deadline, call_scope* scope)
+    http_request const& request, core::time_point deadline, call_scope* scope,
+    core::duration max_idle)
 {
-    auto taken = co_await take(deadline);
+    auto taken = co_await take(deadline, max_idle);
     if (auto const* const failure = std::get_if<exchange_failure>(&taken))
     {
         co_return *failure;
@@ -93,35 +152,33 @@
                 stream->close();
             });
     }
-    auto const written =
-        co_await write_request(used->m_stream, request, deadline);
-    if (written.m_error)
-    {
-        if (scope != nullptr)
-        {
-            scope->clear();
-        }
-        co_return exchange_failure{
-            .m_sent = written.m_written > 0,
-            .m_reason = reason_for(written.m_error, scope)};
-    }
-    bool const head = request.method() == beast::http::verb::head;
-    auto read = co_await read_response(
-        used->m_stream, used->m_buffer, m_options.m_limits, head, deadline);
+    // The server may answer before it has read the whole request, so the
+    // answer is read while the request is being written.
+    auto const sending = std::make_shared<sending_request>(request);
+    used->m_stream.expires_at(deadline);
+    begin_write(used->m_stream, sending);
+    auto read = co_await read_answer(*used, request, deadline);
     if (scope != nullptr)
     {
         scope->clear();
     }
     if (auto const* const error = std::get_if<beast::error_code>(&read))
     {
+        bool const unsent =
+            sending->m_done && sending->m_error && sending->m_written == 0;
         co_return exchange_failure{
-            .m_sent = true, .m_reason = reason_for(*error, scope)};
+            .m_sent = !unsent, .m_reason = reason_for(*error, scope)};
     }
     auto& response = std::get<http_response>(read);
-    // Bytes behind the response belong to no request: the connection is not
-    // to be trusted again.
-    if (response.keep_alive() && used->m_buffer.size() == 0)
+    // Bytes behind the response belong to no request, and a server that did
+    // not wait for the whole request may read on in the next one: such a
+    // connection is not to be trusted again.
+    bool const is_clean = response.keep_alive() && !response.need_eof() &&
+                          used->m_buffer.size() == 0 && sending->m_done &&
+                          !sending->m_error;
+    if (is_clean)
     {
+        used->m_idle_limit = idle_limit_of(response, m_options.m_idle_limit);
         put_back(std::move(used));
     }
     co_return std::move(response);
@@ -142,11 +199,16 @@
     return *m_open;
 }
 
+std::uint64_t connection_pool::opened() const noexcept
+{
+    return m_opened;
+}
+
 awaitable<std::variant<
     std::unique_ptr<connection_pool::connection>, exchange_failure>>
-connection_pool::take(core::time_point deadline)
+connection_pool::take(core::time_point deadline, core::duration max_idle)
 {
-    if (auto idle = take_idle())
+    if (auto idle = take_idle(max_idle))
     {
         co_return std::move(idle);
     }
@@ -186,15 +248,43 @@
     }
     beast::error_code ignored;
     stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+    ++m_opened;
     co_return std::move(fresh);
 }
 
+// Reads the response to the request and skips those that answer another one.
+awaitable<std::variant<http_response, beast::error_code>>
+connection_pool::read_answer(
+    connection& used, http_request const& request, core::time_point deadline)
+{
+    bool const head = request.method() == beast::http::verb::head;
+    for (int skipped = 0; skipped <= max_skipped; ++skipped)
+    {
+        auto read = co_await read_response(
+            used.m_stream, used.m_buffer, m_options.m_limits, head, deadline);
+        auto const* const response = std::get_if<http_response>(&read);
+        bool const is_ours = response == nullptr || !m_options.m_answers ||
+                             m_options.m_answers(request, *response);
+        if (is_ours)
+        {
+            co_return std::move(read);
+        }
+        if (!response->keep_alive() || response->need_eof())
+        {
+            break;
+        }
+    }
+    co_return beast::error_code{beast::http::error::end_of_stream};
+}
+
 // The connection used last is taken first, so that those not needed grow old
 // and are closed.
-std::unique_ptr<connection_pool::connection> connection_pool::take_idle()
+std::unique_ptr<connection_pool::connection> connection_pool::take_idle(
+    core::duration max_idle)
 {
-    drop_expired(std::chrono::steady_clock::now());
-    while (!m_idle.empty())
+    auto const now = std::chrono::steady_clock::now();
+    drop_expired(now);
+    while (!m_idle.empty() && now - m_idle.back()->m_idle_since <= max_idle)
     {
         auto candidate = std::move(m_idle.back());
         m_idle.pop_back();
@@ -214,11 +304,12 @@
 
 void connection_pool::drop_expired(core::time_point now)
 {
-    while (!m_idle.empty() &&
-           m_idle.front()->m_idle_since + m_options.m_idle_limit <= now)
-    {
-        m_idle.pop_front();
-    }
+    std::erase_if(
+        m_idle,
+        [now](std::unique_ptr<connection> const& candidate)
+        {
+            return candidate->m_idle_since + candidate->m_idle_limit <= now;
+        });
 }
 
 } // namespace hibiscustide::net
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +37,9 @@
     std::chrono::milliseconds m_idle_limit{1'000};
     std::chrono::milliseconds m_connect_limit{1'000};
     message_limits m_limits{.m_max_body_bytes = 8'388'608};
+    /// Whether a response answers the request. One that doesn't is an answer
+    /// that came late or twice: it is skipped. Empty: any response does.
+    std::function<bool(http_request const&, http_response const&)> m_answers;
 };
 
 /// Why an exchange gave no response, and whether a byte of the request had
@@ -60,10 +65,11 @@
 
     /// Sends the request and reads the whole response by the deadline. When
     /// the scope is cancelled, closes the connection, by which the server can
-    /// tell. `scope` may be null.
+    /// tell. `scope` may be null. A connection that has been idle for longer
+    /// than `max_idle` is not used: the server may close it under the request.
     awaitable<exchange_result> exchange(
         http_request const& request, core::time_point deadline,
-        call_scope* scope);
+        call_scope* scope, core::duration max_idle = core::duration::max());
 
     /// Closes the idle connections: the server is leaving or has started anew.
     void retire_idle();
@@ -71,14 +77,22 @@
     /// Sets the most connections open at once.
     void limit(std::size_t max_connections) noexcept;
 
+    /// Connections that are open.
     [[nodiscard]] std::size_t open() const noexcept;
 
+    /// Connections opened so far.
+    [[nodiscard]] std::uint64_t opened() const noexcept;
+
 private:
     struct connection;
 
     awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>> take(
+        core::time_point deadline, core::duration max_idle);
+    [[nodiscard]] std::unique_ptr<connection> take_idle(
+        core::duration max_idle);
+    awaitable<std::variant<http_response, beast::error_code>> read_answer(
+        connection& used, http_request const& request,
         core::time_point deadline);
-    [[nodiscard]] std::unique_ptr<connection> take_idle();
     void put_back(std::unique_ptr<connection> used);
     void drop_expired(core::time_point now);
 
@@ -86,6 +100,7 @@
     connection_pool_options m_options;
     std::deque<std::unique_ptr<connection>> m_idle;
     std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
+    std::uint64_t m_opened = 0;
 };
 
 } // namespace hibiscustide::net
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -17,7 +17,7 @@
 
 namespace http = beast::http;
 
-constexpr std::size_t first_read_bytes = 8'192;
+constexpr std::size_t first_read_bytes = 2'048;
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
 // Reads the rest of a message into the parser; the stream's expiry is set.
@@ -42,13 +42,21 @@
 } // namespace
 
 awaitable<beast::error_code> wait_for_data(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, core::duration limit)
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    std::optional<core::duration> limit)
 {
     if (buffer.size() > 0)
     {
         co_return beast::error_code{};
     }
-    stream.expires_after(limit);
+    if (limit)
+    {
+        stream.expires_after(*limit);
+    }
+    else
+    {
+        stream.expires_never();
+    }
     auto const [error, count] = co_await stream.async_read_some(
         buffer.prepare(first_read_bytes), no_throw);
     buffer.commit(count);
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,11 +26,12 @@
     std::size_t m_max_body_bytes = 1'048'576;
 };
 
-/// Waits until the peer sends something, or gives an error. Data that is
-/// already in the buffer ends the wait at once.
+/// Waits until the peer sends something, or gives an error; no longer than
+/// `limit` where there is one. Data that is already in the buffer ends the wait
+/// at once.
 awaitable<beast::error_code> wait_for_data(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    core::duration limit);
+    std::optional<core::duration> limit);
 
 /// Reads one request whole within `limit`.
 awaitable<std::variant<http_request, beast::error_code>> read_request(
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -1,18 +1,16 @@
 #include "net/http_server.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
-#include <sys/socket.h>
-
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "net/clock.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net
@@ -28,56 +26,50 @@
 
 } // namespace
 
+// One connection. Requests are numbered as they come; an answer waits in
+// m_answers until those before it have been written.
 struct http_server::session
 {
     explicit session(asio::ip::tcp::socket socket)
-        : m_stream{std::move(socket)}
+        : m_stream{std::move(socket)},
+          m_room{m_stream.get_executor()}
     {
+        m_room.expires_at(asio::steady_timer::time_point::max());
     }
 
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    bool m_busy = false;
-};
-
-namespace
-{
-
-// Watches for the caller's leave while its request is being answered. The
-// handler may run after the watch has ended, so it shares the scope.
-class leave_watch
-{
-public:
-    leave_watch(
-        asio::ip::tcp::socket& socket, std::shared_ptr<call_scope> const& scope)
+    [[nodiscard]] std::size_t unanswered() const noexcept
     {
-        auto on_readable =
-            [scope, native = socket.native_handle()](beast::error_code error)
-        {
-            if (!error && is_closed_by_peer(native))
-            {
-                scope->cancel();
-            }
-        };
-        socket.async_wait(
-            asio::ip::tcp::socket::wait_read,
-            asio::bind_cancellation_slot(m_stop.slot(), on_readable));
+        return m_next_request - m_next_answer;
     }
 
-    leave_watch(leave_watch const&) = delete;
-    leave_watch& operator=(leave_watch const&) = delete;
+    [[nodiscard]] bool is_busy() const noexcept
+    {
+        return m_reading || m_writing || unanswered() > 0;
+    }
 
-    ~leave_watch()
+    void cancel_all()
     {
-        m_stop.emit(asio::cancellation_type::terminal);
+        auto scopes = std::move(m_scopes);
+        m_scopes.clear();
+        for (auto const& [place, scope] : scopes)
+        {
+            scope->cancel();
+        }
     }
 
-private:
-    asio::cancellation_signal m_stop;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    asio::steady_timer m_room; ///< Cancelled when an answer has been written.
+    core::time_point m_active_at = clock_now();
+    std::uint64_t m_next_request = 0;
+    std::uint64_t m_next_answer = 0;
+    std::map<std::uint64_t, http_response> m_answers;
+    std::map<std::uint64_t, std::shared_ptr<call_scope>> m_scopes;
+    bool m_reading = false; ///< A request has begun to come.
+    bool m_writing = false;
+    bool m_closing = false; ///< No further request is read.
 };
 
-} // namespace
-
 http_server::http_server(
     asio::io_context& context, http_server_options options,
     http_handler handler, malformed_handler malformed)
@@ -91,28 +83,11 @@
 
 std::optional<std::string> http_server::start()
 {
-    auto const address = to_asio(m_options.m_listen);
-    beast::error_code error;
-    m_acceptor.open(address.protocol(), error);
-    if (!error)
+    auto failure =
+        open_listener(m_acceptor, m_options.m_listen, m_options.m_reuse_port);
+    if (failure)
     {
-        m_acceptor.set_option(asio::socket_base::reuse_address{true}, error);
-    }
-    if (!error && m_options.m_reuse_port)
-    {
-        error = set_reuse_port(m_acceptor.native_handle());
-    }
-    if (!error)
-    {
-        m_acceptor.bind(address, error);
-    }
-    if (!error)
-    {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
-    {
-        return core::to_string(m_options.m_listen) + ": " + error.message();
+        return failure;
     }
     auto self = shared_from_this();
     asio::co_spawn(
@@ -122,9 +97,25 @@
             co_await self->accept_loop();
         },
         asio::detached);
+    asio::co_spawn(
+        m_context,
+        [self]() -> awaitable<void>
+        {
+            co_await self->close_idle_loop();
+        },
+        asio::detached);
     return std::nullopt;
 }
 
+void http_server::set_limits(
+    message_limits const& limits, std::chrono::milliseconds idle_limit,
+    std::chrono::milliseconds read_limit) noexcept
+{
+    m_options.m_limits = limits;
+    m_options.m_idle_limit = idle_limit;
+    m_options.m_read_limit = read_limit;
+}
+
 void http_server::begin_drain()
 {
     m_draining = true;
@@ -152,7 +143,7 @@
     m_finished = true;
     for (auto const& connection : m_sessions)
     {
-        if (!connection->m_busy)
+        if (!connection->is_busy())
         {
             connection->m_stream.close();
         }
@@ -161,9 +152,9 @@
 
 std::size_t http_server::busy() const noexcept
 {
-    auto const is_busy = [](std::shared_ptr<session> const& connection)
+    auto const is_busy = [](session_ptr const& connection)
     {
-        return connection->m_busy;
+        return connection->is_busy();
     };
     auto const count =
         std::count_if(m_sessions.begin(), m_sessions.end(), is_busy);
@@ -214,12 +205,37 @@
         asio::detached);
 }
 
-awaitable<void> http_server::serve(std::shared_ptr<session> connection)
+// One timer for all connections: a connection is closed within a quarter of
+// the limit after it is due.
+awaitable<void> http_server::close_idle_loop()
+{
+    asio::steady_timer timer{m_context};
+    while (m_acceptor.is_open())
+    {
+        timer.expires_after(m_options.m_idle_limit / 4);
+        co_await timer.async_wait(no_throw);
+        auto const oldest = clock_now() - m_options.m_idle_limit;
+        for (auto const& connection : m_sessions)
+        {
+            if (!connection->is_busy() && connection->m_active_at < oldest)
+            {
+                connection->m_stream.close();
+            }
+        }
+    }
+}
+
+awaitable<void> http_server::serve(session_ptr connection)
 {
     bool again = true;
-    while (again && !m_finished)
+    while (again && !m_finished && !connection->m_closing)
     {
-        again = co_await serve_one(connection);
+        again = co_await read_next(connection);
+    }
+    connection->m_closing = true;
+    while (connection->unanswered() > 0 || connection->m_writing)
+    {
+        co_await connection->m_room.async_wait(no_throw);
     }
     // Half-closing first lets the peer read the last answer to its end even if
     // it has sent more than was read here.
@@ -230,61 +246,139 @@
     m_sessions.erase(connection);
 }
 
-awaitable<bool> http_server::serve_one(
-    std::shared_ptr<session> const& connection)
+// Reads a request and begins to answer it. False where no more can be read.
+awaitable<bool> http_server::read_next(session_ptr const& connection)
 {
     auto& stream = connection->m_stream;
-    auto const waited = co_await wait_for_data(
-        stream, connection->m_buffer, m_options.m_idle_limit);
+    auto const waited =
+        co_await wait_for_data(stream, connection->m_buffer, std::nullopt);
     if (waited)
+    {
+        // The peer has left or the connection has failed: nobody waits for
+        // the answers any more.
+        connection->cancel_all();
+        co_return false;
+    }
+    while (connection->unanswered() >= m_options.m_max_pipelined)
+    {
+        co_await connection->m_room.async_wait(no_throw);
+    }
+    if (connection->m_closing)
     {
         co_return false;
     }
     // From the first byte on the connection is busy, so that a graceful
     // shutdown waits for the request.
-    connection->m_busy = true;
+    connection->m_reading = true;
     auto read = co_await read_request(
         stream, connection->m_buffer, m_options.m_limits,
         m_options.m_read_limit);
+    connection->m_reading = false;
     if (auto const* const error = std::get_if<beast::error_code>(&read))
     {
-        co_await reject(connection, status_for(*error));
+        reject(connection, status_for(*error));
         co_return false;
     }
-    auto& request = std::get<http_request>(read);
+    auto request =
+        std::make_shared<http_request>(std::move(std::get<http_request>(read)));
+    bool const keep_alive = request->keep_alive();
     auto scope = std::make_shared<call_scope>();
-    bool const keep_alive = request.keep_alive();
-    auto const version = request.version();
-    http_response response;
-    {
-        leave_watch const watch{stream.socket(), scope};
-        response = co_await m_handler(request, scope);
-    }
+    auto const place = connection->m_next_request++;
+    connection->m_scopes.emplace(place, scope);
+    auto self = shared_from_this();
+    asio::co_spawn(
+        m_context,
+        [self, connection, place, request, scope]() -> awaitable<void>
+        {
+            co_await self->answer(connection, place, request, scope);
+        },
+        asio::detached);
+    co_return keep_alive;
+}
+
+awaitable<void> http_server::answer(
+    session_ptr connection, std::uint64_t place,
+    std::shared_ptr<http_request> request, std::shared_ptr<call_scope> scope)
+{
+    bool const keep_alive = request->keep_alive();
+    auto const version = request->version();
+    bool const head = request->method() == beast::http::verb::head;
+    auto response = co_await m_handler(*request, scope);
     response.version(version);
-    response.keep_alive(keep_alive && !m_draining);
-    bool const head = request.method() == beast::http::verb::head;
+    response.keep_alive(keep_alive && response.keep_alive());
     if (!head)
     {
         response.prepare_payload();
     }
-    auto const written =
-        co_await write_response(stream, response, m_options.m_write_limit);
-    connection->m_busy = false;
-    co_return !written.m_error && response.keep_alive();
+    connection->m_scopes.erase(place);
+    connection->m_answers.emplace(place, std::move(response));
+    if (!connection->m_writing)
+    {
+        co_await write_in_order(connection);
+    }
+}
+
+awaitable<void> http_server::write_in_order(session_ptr connection)
+{
+    connection->m_writing = true;
+    auto it = connection->m_answers.find(connection->m_next_answer);
+    while (it != connection->m_answers.end())
+    {
+        http_response response = std::move(it->second);
+        connection->m_answers.erase(it);
+        // While draining, a connection is closed behind its last answer: a
+        // request that has been read is not left without one.
+        bool const is_last = connection->unanswered() == 1 &&
+                             !connection->m_reading &&
+                             connection->m_buffer.size() == 0;
+        if (m_draining && is_last)
+        {
+            response.keep_alive(false);
+        }
+        auto const written = co_await write_response(
+            connection->m_stream, response, m_options.m_write_limit);
+        ++connection->m_next_answer;
+        connection->m_active_at = clock_now();
+        if (written.m_error || !response.keep_alive())
+        {
+            // What was asked behind this answer counts as not read.
+            beast::error_code ignored;
+            connection->m_closing = true;
+            connection->m_stream.socket().shutdown(
+                asio::ip::tcp::socket::shutdown_send, ignored);
+            connection->m_stream.socket().cancel(ignored);
+        }
+        connection->m_room.cancel();
+        it = connection->m_answers.find(connection->m_next_answer);
+    }
+    connection->m_writing = false;
+    connection->m_room.cancel();
 }
 
-awaitable<void> http_server::reject(
-    std::shared_ptr<session> const& connection, status why)
+void http_server::reject(session_ptr const& connection, status why)
 {
+    connection->m_closing = true;
     if (why == status::unknown)
     {
-        co_return;
+        connection->cancel_all();
+        return;
     }
     auto response = m_malformed(why);
     response.keep_alive(false);
     response.prepare_payload();
-    co_await write_response(
-        connection->m_stream, response, m_options.m_write_limit);
+    connection->m_answers.emplace(
+        connection->m_next_request++, std::move(response));
+    if (!connection->m_writing)
+    {
+        auto self = shared_from_this();
+        asio::co_spawn(
+            m_context,
+            [self, connection]() -> awaitable<void>
+            {
+                co_await self->write_in_order(connection);
+            },
+            asio::detached);
+    }
 }
 
 } // namespace hibiscustide::net
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,6 +31,9 @@
     std::chrono::milliseconds m_idle_limit{60'000};
     std::chrono::milliseconds m_read_limit{15'000};
     std::chrono::milliseconds m_write_limit{30'000};
+    /// Requests of one connection that are answered side by side; the answers
+    /// go out in the order of the requests.
+    std::size_t m_max_pipelined = 1;
 };
 
 /// Answers one request. The scope tells when the caller leaves meanwhile.
@@ -39,8 +43,7 @@
 /// The answer to a request that could not be read.
 using malformed_handler = std::function<http_response(status)>;
 
-/// One listener and its connections, on one io_context. Requests on one
-/// connection are answered one after the other.
+/// One listener and its connections, on one io_context.
 class http_server : public std::enable_shared_from_this<http_server>
 {
 public:
@@ -52,8 +55,13 @@
     /// opened, nothing otherwise.
     [[nodiscard]] std::optional<std::string> start();
 
-    /// Begins a graceful shutdown: each further answer closes its connection.
-    /// New connections are still served.
+    /// Changes what clients may send and how slowly.
+    void set_limits(
+        message_limits const& limits, std::chrono::milliseconds idle_limit,
+        std::chrono::milliseconds read_limit) noexcept;
+
+    /// Begins a graceful shutdown: an answer with no request behind it closes
+    /// its connection. New connections are still served.
     void begin_drain();
 
     /// No more connections are accepted. Those that the system has completed
@@ -73,13 +81,19 @@
 
 private:
     struct session;
+    using session_ptr = std::shared_ptr<session>;
 
     awaitable<void> accept_loop();
+    awaitable<void> close_idle_loop();
     void take(asio::ip::tcp::socket socket);
-    awaitable<void> serve(std::shared_ptr<session> connection);
-    awaitable<bool> serve_one(std::shared_ptr<session> const& connection);
-    awaitable<void> reject(
-        std::shared_ptr<session> const& connection, status why);
+    awaitable<void> serve(session_ptr connection);
+    awaitable<bool> read_next(session_ptr const& connection);
+    awaitable<void> answer(
+        session_ptr connection, std::uint64_t place,
+        std::shared_ptr<http_request> request,
+        std::shared_ptr<call_scope> scope);
+    awaitable<void> write_in_order(session_ptr connection);
+    void reject(session_ptr const& connection, status why);
 
     asio::io_context& m_context;
     http_server_options m_options;
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -0,0 +1,407 @@
+#include "net/mesh/call.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <hibiscustide/net/event_log.hpp>
+
+#include "net/clock.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+using core::observe::event;
+using std::chrono::milliseconds;
+
+// Between two rounds of asking targets that were full.
+constexpr milliseconds place_pause{20};
+
+// A call that finds no room is refused after this part of its objective: the
+// caller can still come back in time.
+constexpr int room_patience_divisor = 8;
+
+bool contains(
+    std::vector<neighbour const*> const& list, neighbour const* wanted)
+{
+    return std::find(list.begin(), list.end(), wanted) != list.end();
+}
+
+milliseconds to_milliseconds(core::duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span);
+}
+
+// Whether the refusal came from a state of the node or its target that will be
+// the same for the next request.
+bool is_lasting(core::reason why)
+{
+    switch (why)
+    {
+    case core::reason::draining:
+    case core::reason::withdrawn:
+    case core::reason::target_down:
+    case core::reason::unknown_service:
+    case core::reason::connect_failed:
+    case core::reason::peer_unreachable:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+call::call(call_environment const& environment, call_options options)
+    : m_environment{environment},
+      m_options{std::move(options)},
+      m_end{environment.m_context}
+{
+}
+
+awaitable<call_result> call::run()
+{
+    auto const self = shared_from_this();
+    place();
+    co_return co_await m_end.get();
+}
+
+void call::abandon()
+{
+    if (m_finished)
+    {
+        return;
+    }
+    log_event(
+        event::caller_left,
+        {{"request", m_options.m_request.m_attempt},
+         {"running", static_cast<std::int64_t>(running())}});
+    finish(
+        {.m_outcome = outcome::may_have_run,
+         .m_reason = core::reason::caller_left},
+        std::nullopt);
+}
+
+void call::on_tick(core::time_point now)
+{
+    if (m_finished)
+    {
+        return;
+    }
+    if (now >= m_options.m_deadline)
+    {
+        run_result late{
+            .m_outcome = m_reached > 0 || running() > 0 ? outcome::may_have_run
+                                                        : outcome::not_run,
+            .m_reason = core::reason::deadline_passed};
+        finish(m_last_failure.value_or(late), std::nullopt);
+        return;
+    }
+    for (auto& each : m_attempts)
+    {
+        if (!each.m_ended)
+        {
+            each.m_progress.advance(
+                each.m_node->m_view.report().m_slowness, now);
+        }
+    }
+    if (m_place_again_at && now >= *m_place_again_at)
+    {
+        m_place_again_at.reset();
+        m_refused.clear();
+        place();
+    }
+    repeat_if_slow(now);
+}
+
+// Sends the request to the best target that has not refused or failed it.
+void call::place()
+{
+    auto const now = clock_now();
+    auto const node = choose(now);
+    if (node)
+    {
+        send(node);
+        return;
+    }
+    if (running() > 0)
+    {
+        return;
+    }
+    if (m_last_failure)
+    {
+        finish(*m_last_failure, std::nullopt);
+        return;
+    }
+    refuse_for_want_of_room(now);
+}
+
+void call::refuse_for_want_of_room(core::time_point now)
+{
+    auto const patience =
+        m_options.m_route.m_latency_objective / room_patience_divisor;
+    if (now + place_pause < m_options.m_began_at + patience)
+    {
+        m_place_again_at = now + place_pause;
+        return;
+    }
+    finish(m_last_refusal, std::nullopt);
+}
+
+void call::send(neighbour_ptr const& node)
+{
+    auto const now = clock_now();
+    auto request = m_options.m_request;
+    request.m_left_ms = std::max<std::int64_t>(
+        to_milliseconds(m_options.m_deadline - now).count(), 1);
+    request.m_objective_ms =
+        to_milliseconds(m_options.m_objective - now).count();
+    request.m_repeated = m_reached > 0 || running() > 0;
+    node->m_view.on_sent();
+    auto const which = m_attempts.size();
+    m_attempts.push_back(
+        {.m_node = node,
+         .m_progress = core::retry::progress{m_options.m_usual_work, now}});
+    auto const weak = weak_from_this();
+    auto done = [weak, node, which](run_result result)
+    {
+        node->m_view.on_ended();
+        if (auto const self = weak.lock())
+        {
+            self->on_result(which, std::move(result));
+        }
+    };
+    auto const id =
+        node->m_is_self
+            ? m_environment.m_gate.run(std::move(request), std::move(done))
+            : node->m_link->run(std::move(request), std::move(done));
+    m_attempts[which].m_id = id;
+    m_environment.m_counts.add(
+        node->m_is_self ? counter::attempts_local : counter::attempts_remote);
+}
+
+void call::on_result(std::size_t which, run_result result)
+{
+    auto& ended = m_attempts[which];
+    ended.m_ended = true;
+    if (m_finished)
+    {
+        return;
+    }
+    auto const now = clock_now();
+    auto& node = *ended.m_node;
+    ended.m_progress.advance(node.m_view.report().m_slowness, now);
+    m_reached += result.m_reached_target ? 1 : 0;
+    if (result.m_outcome == outcome::answered)
+    {
+        node.m_view.on_answered();
+        bool const is_failure = result.m_status >= 500;
+        if (!is_failure || !may_repeat())
+        {
+            finish(std::move(result), which);
+            return;
+        }
+        m_failed.push_back(&node);
+        on_failed(std::move(result));
+        return;
+    }
+    if (is_lasting(result.m_reason) && !node.m_is_self)
+    {
+        node.m_view.on_failed(now);
+    }
+    if (result.m_outcome == outcome::not_run)
+    {
+        m_refused.push_back(&node);
+        on_not_run(std::move(result));
+        return;
+    }
+    m_failed.push_back(&node);
+    on_failed(std::move(result));
+}
+
+// A refusal by a gate costs nothing, since the target has seen nothing of it.
+void call::on_not_run(run_result result)
+{
+    log_event(
+        event::attempt_refused,
+        {{"request", m_options.m_request.m_attempt},
+         {"reason", core::to_string(result.m_reason)},
+         {"reached_target", std::int64_t{result.m_reached_target}},
+         {"retry_after_ms", result.m_retry_after_ms}});
+    bool const reached = result.m_reached_target;
+    m_last_refusal = std::move(result);
+    bool const has_room =
+        !reached || (m_reached < m_options.m_route.m_max_targets &&
+                     m_options.m_budget->spend(clock_now()));
+    if (!has_room)
+    {
+        if (running() == 0)
+        {
+            finish(m_last_failure.value_or(m_last_refusal), std::nullopt);
+        }
+        return;
+    }
+    place();
+}
+
+void call::on_failed(run_result result)
+{
+    log_event(
+        event::attempt_failed,
+        {{"request", m_options.m_request.m_attempt},
+         {"reason", core::to_string(result.m_reason)},
+         {"status", static_cast<std::int64_t>(result.m_status)}});
+    bool const again = may_repeat() && choose(clock_now()) &&
+                       m_options.m_budget->spend(clock_now());
+    m_last_failure = std::move(result);
+    if (again)
+    {
+        m_environment.m_counts.add(counter::retries);
+        place();
+    }
+    else if (running() == 0)
+    {
+        finish(*m_last_failure, std::nullopt);
+    }
+}
+
+void call::repeat_if_slow(core::time_point now)
+{
+    if (m_finished || running() != 1 || !may_repeat())
+    {
+        return;
+    }
+    auto const it = std::find_if(
+        m_attempts.begin(), m_attempts.end(),
+        [](attempt const& each)
+        {
+            return !each.m_ended;
+        });
+    core::retry::repeat_question const question{
+        .m_done = it->m_progress.done(),
+        .m_slowness = it->m_node->m_view.report().m_slowness,
+        .m_unreachable = false,
+        .m_other_cost = best_other_cost(now),
+        .m_usual_work = m_options.m_usual_work,
+        .m_objective_left = m_options.m_objective - now,
+        .m_deadline_left = m_options.m_deadline - now};
+    if (!core::retry::is_worth_repeating(question) ||
+        !m_options.m_budget->spend(now))
+    {
+        return;
+    }
+    log_event(
+        event::attempt_repeated,
+        {{"request", m_options.m_request.m_attempt},
+         {"slow_node", it->m_node->m_address},
+         {"done", question.m_done},
+         {"slowness", static_cast<std::int64_t>(question.m_slowness)},
+         {"other_cost", question.m_other_cost}});
+    m_environment.m_counts.add(counter::retries);
+    m_failed.push_back(it->m_node.get());
+    place();
+}
+
+void call::finish(run_result result, std::optional<std::size_t> which)
+{
+    m_finished = true;
+    m_place_again_at.reset();
+    cancel_attempts();
+    call_result end{
+        .m_result = std::move(result), .m_attempts = m_attempts.size()};
+    if (which)
+    {
+        end.m_progress = m_attempts[*which].m_progress.done();
+        end.m_target = m_attempts[*which].m_node->m_address;
+    }
+    m_end.set(std::move(end));
+}
+
+void call::cancel_attempts()
+{
+    for (auto& each : m_attempts)
+    {
+        if (std::exchange(each.m_ended, true))
+        {
+            continue;
+        }
+        each.m_node->m_view.on_ended();
+        if (each.m_node->m_is_self)
+        {
+            m_environment.m_gate.cancel(each.m_id);
+        }
+        else
+        {
+            each.m_node->m_link->cancel(each.m_id);
+        }
+    }
+}
+
+neighbour_ptr call::choose(core::time_point now) const
+{
+    auto const& members =
+        m_environment.m_neighbours.members_of(m_options.m_request.m_service);
+    std::vector<core::routing::placement_candidate> candidates;
+    candidates.reserve(members.size());
+    for (auto const& node : members)
+    {
+        candidates.push_back(
+            {.m_view = &node->m_view,
+             .m_same_domain = node->m_same_domain,
+             .m_excluded = contains(m_refused, node.get()) ||
+                           contains(m_failed, node.get())});
+    }
+    auto const tie = static_cast<std::size_t>(m_environment.m_random());
+    auto const position = core::routing::place(candidates, tie, now);
+    return position ? members[*position] : nullptr;
+}
+
+double call::best_other_cost(core::time_point now) const
+{
+    constexpr double nobody = 1e9;
+    auto const& members =
+        m_environment.m_neighbours.members_of(m_options.m_request.m_service);
+    double least = nobody;
+    for (auto const& node : members)
+    {
+        auto const& report = node->m_view.report();
+        bool const is_used = std::any_of(
+            m_attempts.begin(), m_attempts.end(),
+            [&node](attempt const& each)
+            {
+                return each.m_node == node;
+            });
+        bool const is_out = is_used || !report.m_open ||
+                            node->m_view.is_left_out(now) ||
+                            (report.m_cold && report.m_cold_left == 0);
+        if (!is_out)
+        {
+            least = std::min(
+                least, core::routing::expected_cost(
+                           {.m_view = &node->m_view,
+                            .m_same_domain = node->m_same_domain}));
+        }
+    }
+    return least;
+}
+
+bool call::may_repeat() const
+{
+    return m_options.m_request.m_idempotent &&
+           m_reached + running() < m_options.m_route.m_max_targets;
+}
+
+std::size_t call::running() const
+{
+    auto const count = std::count_if(
+        m_attempts.begin(), m_attempts.end(),
+        [](attempt const& each)
+        {
+            return !each.m_ended;
+        });
+    return static_cast<std::size_t>(count);
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -0,0 +1,113 @@
+/// \file
+/// One request of a caller, from its route to its answer.
+#ifndef HIBISCUSTIDE_NET_MESH_CALL_HPP
+#define HIBISCUSTIDE_NET_MESH_CALL_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <hibiscustide/core/directory/configuration.hpp>
+#include <hibiscustide/core/retry/attempt_budget.hpp>
+#include <hibiscustide/core/retry/repeat.hpp>
+
+#include "net/mesh/completion.hpp"
+#include "net/mesh/messages.hpp"
+#include "net/mesh/neighbours.hpp"
+#include "net/mesh/target_gate.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+/// What calls share. Outlives them.
+struct call_environment
+{
+    asio::io_context& m_context;
+    neighbours& m_neighbours;
+    target_gate& m_gate;
+    metrics& m_counts;
+    std::mt19937_64& m_random;
+};
+
+/// What is fixed when a call begins.
+struct call_options
+{
+    run_request m_request; ///< What every attempt sends.
+    core::directory::route m_route;
+    core::time_point m_began_at;
+    core::time_point m_objective; ///< An answer later than this is late.
+    core::time_point m_deadline;  ///< The caller gets an answer by then.
+    core::duration m_usual_work{};
+    std::shared_ptr<core::retry::attempt_budget> m_budget;
+    std::uint64_t m_version = 0; ///< Of the configuration that routed it.
+};
+
+/// How a call ended.
+struct call_result
+{
+    run_result m_result;
+    double m_progress = 0; ///< Usual work times that the answer took.
+    std::size_t m_attempts = 0;
+    std::string m_target; ///< Address of the node that answered.
+};
+
+/// Places a request, places it again where it did not run, and sends it to a
+/// second target where it may be repeated. Lives on one io_context.
+class call : public std::enable_shared_from_this<call>
+{
+public:
+    call(call_environment const& environment, call_options options);
+
+    /// Runs the request to its end.
+    awaitable<call_result> run();
+
+    /// The caller has left: every attempt is broken off.
+    void abandon();
+
+    /// Called every few milliseconds while the call runs.
+    void on_tick(core::time_point now);
+
+private:
+    struct attempt
+    {
+        neighbour_ptr m_node;
+        std::uint64_t m_id = 0;
+        core::retry::progress m_progress;
+        bool m_ended = false;
+    };
+
+    void place();
+    void send(neighbour_ptr const& node);
+    void on_result(std::size_t which, run_result result);
+    void on_not_run(run_result result);
+    void on_failed(run_result result);
+    void repeat_if_slow(core::time_point now);
+    void finish(run_result result, std::optional<std::size_t> which);
+    void refuse_for_want_of_room(core::time_point now);
+    void cancel_attempts();
+    [[nodiscard]] neighbour_ptr choose(core::time_point now) const;
+    [[nodiscard]] double best_other_cost(core::time_point now) const;
+    [[nodiscard]] bool may_repeat() const;
+    [[nodiscard]] std::size_t running() const;
+
+    call_environment m_environment;
+    call_options m_options;
+    completion<call_result> m_end;
+    std::vector<attempt> m_attempts;
+    std::vector<neighbour const*> m_refused; ///< In this round of placing.
+    std::vector<neighbour const*> m_failed;
+    std::optional<core::time_point> m_place_again_at;
+    std::optional<run_result> m_last_failure; ///< Told if nothing better comes.
+    run_result m_last_refusal;
+    std::size_t m_reached = 0; ///< Targets that the request has reached.
+    bool m_finished = false;
+};
+
+} // namespace hibiscustide::net::mesh
+
+#endif
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -0,0 +1,92 @@
+/// \file
+/// Keeps the directory up to date from the publishing service and from peers.
+#ifndef HIBISCUSTIDE_NET_MESH_DIRECTORY_SYNC_HPP
+#define HIBISCUSTIDE_NET_MESH_DIRECTORY_SYNC_HPP
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+#include <json/value.h>
+
+#include <hibiscustide/core/directory/directory.hpp>
+#include <hibiscustide/core/directory/reading.hpp>
+#include <hibiscustide/core/directory/replica.hpp>
+
+#include "net/mesh/publisher.hpp"
+#include "net/metrics.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+/// What the directory's readers are told.
+struct directory_update
+{
+    core::directory::directory_ptr m_directory;
+    std::uint64_t m_revision = 0; ///< Of the published items.
+    bool m_reads = false;         ///< This node reads the service.
+    bool m_returned = false;      ///< The service was away until lately.
+
+    friend bool operator==(directory_update const&, directory_update const&) =
+        default;
+};
+
+struct directory_sync_options
+{
+    std::string m_address; ///< Of this node.
+    std::function<void(directory_update const&)> m_on_update;
+};
+
+/// Lives on the control thread.
+class directory_sync
+{
+public:
+    directory_sync(
+        asio::io_context& context, directory_sync_options options,
+        publisher from, metrics& counts);
+
+    void start();
+
+    /// A node of the own failure domain says whether it reads.
+    void on_peer(std::string const& address, bool reads);
+
+    /// A peer says that the service was away until lately.
+    void on_service_returned();
+
+    /// A peer sent what was published.
+    void on_changes(core::directory::item_changes const& changes);
+
+    [[nodiscard]] core::directory::item_changes changes_after(
+        std::uint64_t revision) const;
+
+    [[nodiscard]] Json::Value to_json() const;
+
+private:
+    awaitable<void> read_loop();
+    awaitable<void> expire_loop();
+    awaitable<void> pause(core::duration span);
+    void on_read(core::directory::item_changes const& changes);
+    void on_failure(std::string const& why);
+    void apply(core::directory::item_changes const& changes);
+    void apply_item(core::directory::item const& entry);
+    void publish();
+
+    asio::io_context& m_context;
+    directory_sync_options m_options;
+    publisher m_from;
+    metrics& m_counts;
+    core::directory::replica m_replica;
+    core::directory::directory_state m_state;
+    core::directory::reading_duty m_duty;
+    core::directory::directory_ptr m_view;
+    directory_update m_told;
+    core::time_point m_read_at{};     ///< The service last answered.
+    core::time_point m_returned_at{}; ///< It answered again after a failure.
+    std::uint32_t m_failures = 0;
+    bool m_lost_history = false;
+};
+
+} // namespace hibiscustide::net::mesh
+
+#endif
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -0,0 +1,331 @@
+#include "net/mesh/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <hibiscustide/net/event_log.hpp>
+
+#include "net/clock.hpp"
+#include "net/headers.hpp"
+#include "net/replies.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+using core::observe::event;
+using std::chrono::milliseconds;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds tick_interval{25};
+
+// A caller that names no deadline waits this long.
+constexpr milliseconds default_deadline{10'000};
+
+// Usual work as a share of the objective, until answers tell it.
+constexpr double first_work_share = 0.35;
+
+// Weight of one answer in the usual work of its route.
+constexpr double work_weight = 0.05;
+
+// When a caller comes back after a refusal: no sooner than room can come free,
+// and spread, so that those refused together don't return together.
+constexpr milliseconds least_retry_after{100};
+constexpr milliseconds no_configuration_retry_after{300};
+constexpr double retry_spread = 0.5;
+
+core::verdict to_verdict(run_result const& result)
+{
+    switch (result.m_outcome)
+    {
+    case outcome::answered:
+        return core::answered{};
+    case outcome::not_run:
+        return core::refused_not_run{.m_reason = result.m_reason};
+    case outcome::may_have_run:
+        break;
+    }
+    return core::may_have_run{.m_reason = result.m_reason};
+}
+
+std::string_view text_of(beast::string_view value)
+{
+    return {value.data(), value.size()};
+}
+
+} // namespace
+
+dispatcher::dispatcher(
+    asio::io_context& context, dispatcher_options options, protocol const& wire,
+    neighbours& nodes, target_gate& gate, metrics& counts)
+    : m_context{context},
+      m_options{std::move(options)},
+      m_wire{wire},
+      m_counts{counts},
+      m_random{std::random_device{}()},
+      m_nodes{nodes},
+      m_environment{
+          .m_context = context,
+          .m_neighbours = nodes,
+          .m_gate = gate,
+          .m_counts = counts,
+          .m_random = m_random},
+      m_directory{std::make_shared<core::directory::directory const>()},
+      m_tick{context}
+{
+}
+
+awaitable<http_response> dispatcher::serve(
+    http_request& request, std::shared_ptr<call_scope> const& scope)
+{
+    auto const fields = m_wire.m_read_caller(request);
+    auto const& config = m_directory->config();
+    if (config.m_version == 0)
+    {
+        co_return refuse(
+            status::service_unavailable, fields.m_attempt,
+            core::reason::no_configuration, no_configuration_retry_after);
+    }
+    auto* const entry =
+        m_routes.find(text_of(request[field::host]), text_of(request.target()));
+    if (entry == nullptr)
+    {
+        co_return refuse(
+            status::not_found, fields.m_attempt, core::reason::no_route, {});
+    }
+    if (fields.m_attempt.empty())
+    {
+        co_return refuse(
+            status::bad_request, "", core::reason::bad_request, {});
+    }
+    auto options = to_call(request, fields, *entry);
+    auto const route = options.m_route;
+    auto const deadline = options.m_deadline;
+    auto const began_at = options.m_began_at;
+    auto const version = options.m_version;
+    auto const service = options.m_request.m_service;
+    options.m_budget->earn(began_at);
+    auto work = std::make_shared<call>(m_environment, std::move(options));
+    m_calls.insert(work);
+    begin_ticking();
+    scope->on_cancel(
+        [weak = std::weak_ptr<call>{work}]
+        {
+            if (auto const left = weak.lock())
+            {
+                left->abandon();
+            }
+        });
+    auto end = co_await work->run();
+    scope->clear();
+    m_calls.erase(work);
+    learn(route, end);
+    auto const took = clock_now() - began_at;
+    auto const verdict = to_verdict(end.m_result);
+    m_counts.observe_call(verdict, took);
+    auto const why = reason_of(verdict);
+    log_event(
+        event::request_ended,
+        {{"request", fields.m_attempt},
+         {"route", route.m_name},
+         {"service", service},
+         {"version", static_cast<std::int64_t>(version)},
+         {"verdict", core::to_string(verdict)},
+         {"reason", why ? core::to_string(*why) : "none"},
+         {"status", static_cast<std::int64_t>(end.m_result.m_status)},
+         {"target", end.m_target},
+         {"attempts", static_cast<std::int64_t>(end.m_attempts)},
+         {"ms", std::chrono::duration<double, std::milli>(took).count()}});
+    co_return to_http(std::move(end), fields.m_attempt, deadline);
+}
+
+void dispatcher::change_directory(
+    core::directory::directory_ptr const& now_in_force)
+{
+    bool const is_new =
+        now_in_force->config().m_version != m_directory->config().m_version;
+    m_directory = now_in_force;
+    if (is_new)
+    {
+        m_routes = core::routing::route_table{
+            std::shared_ptr<core::directory::configuration const>{
+                now_in_force, &now_in_force->config()}};
+    }
+}
+
+std::size_t dispatcher::busy() const noexcept
+{
+    return m_calls.size();
+}
+
+void dispatcher::begin_ticking()
+{
+    if (!std::exchange(m_ticking, true))
+    {
+        asio::co_spawn(m_context, tick_loop(), asio::detached);
+    }
+}
+
+awaitable<void> dispatcher::tick_loop()
+{
+    while (!m_calls.empty())
+    {
+        m_tick.expires_after(tick_interval);
+        co_await m_tick.async_wait(no_throw);
+        auto const now = clock_now();
+        m_nodes.self()->m_view.on_own_report(
+            m_environment.m_gate.report(), now);
+        auto const calls = m_calls;
+        for (auto const& each : calls)
+        {
+            each->on_tick(now);
+        }
+    }
+    m_ticking = false;
+}
+
+call_options dispatcher::to_call(
+    http_request& request, caller_fields const& fields,
+    core::routing::route_table::entry& entry)
+{
+    auto const now = clock_now();
+    auto const& route = *entry.m_route;
+    m_nodes.self()->m_view.on_own_report(m_environment.m_gate.report(), now);
+    auto const& service = route.m_services[entry.m_turns.next()].m_service;
+    auto const patience = std::min<milliseconds>(
+        fields.m_left.value_or(default_deadline), route.m_timeout);
+    auto const usual_work = work_of(route);
+    run_request sent{
+        .m_attempt = fields.m_attempt,
+        .m_service = service,
+        .m_caller = m_options.m_service,
+        .m_method = std::string{request.method_string()},
+        .m_path = std::string{request.target()},
+        .m_work_ms =
+            std::chrono::duration_cast<milliseconds>(usual_work).count(),
+        .m_priority = route.m_priority,
+        .m_idempotent = route.m_idempotent};
+    headers::remove_hop_by_hop(request);
+    for (auto const& each : request)
+    {
+        auto const name = text_of(each.name_string());
+        if (!m_wire.m_is_internal(name) && name != "Content-Length")
+        {
+            sent.m_fields.push_back(
+                {.m_name = std::string{name},
+                 .m_value = std::string{each.value()}});
+        }
+    }
+    sent.m_body = std::move(request.body());
+    return {
+        .m_request = std::move(sent),
+        .m_route = route,
+        .m_began_at = now,
+        .m_objective = now + route.m_latency_objective,
+        .m_deadline = now + patience,
+        .m_usual_work = usual_work,
+        .m_budget = budget_of(service),
+        .m_version = m_directory->config().m_version};
+}
+
+std::shared_ptr<core::retry::attempt_budget> dispatcher::budget_of(
+    std::string const& service)
+{
+    auto& budget = m_budgets[service];
+    auto const nodes = std::max<std::size_t>(m_nodes.all().size(), 1);
+    double const slack =
+        m_options.m_budget.m_slack / static_cast<double>(nodes);
+    if (!budget)
+    {
+        budget =
+            std::make_shared<core::retry::attempt_budget>(m_options.m_budget);
+    }
+    budget->set_slack(slack);
+    return budget;
+}
+
+core::duration& dispatcher::work_of(core::directory::route const& route)
+{
+    std::chrono::duration<double> const objective = route.m_latency_objective;
+    auto const first = std::chrono::duration_cast<core::duration>(
+        objective * first_work_share);
+    return m_work.emplace(route.m_name, first).first->second;
+}
+
+http_response dispatcher::to_http(
+    call_result&& end, std::string const& attempt, core::time_point deadline)
+{
+    auto& result = end.m_result;
+    if (result.m_outcome == outcome::answered)
+    {
+        http_response response;
+        response.result(result.m_status);
+        for (auto const& each : result.m_fields)
+        {
+            response.insert(each.m_name, each.m_value);
+        }
+        response.body() = std::move(result.m_body);
+        return response;
+    }
+    if (result.m_outcome == outcome::may_have_run)
+    {
+        bool const is_late = result.m_reason == core::reason::deadline_passed ||
+                             clock_now() >= deadline;
+        return refuse(
+            is_late ? status::gateway_timeout : status::bad_gateway, attempt,
+            result.m_reason, {});
+    }
+    std::uniform_real_distribution<double> spread{0.0, retry_spread};
+    auto const wait =
+        std::max(milliseconds{result.m_retry_after_ms}, least_retry_after);
+    auto const more =
+        std::chrono::duration_cast<milliseconds>(wait * spread(m_random));
+    return refuse(
+        status::service_unavailable, attempt, result.m_reason, wait + more);
+}
+
+http_response dispatcher::refuse(
+    status code, std::string const& attempt, core::reason why,
+    milliseconds retry_after)
+{
+    auto response = text_reply(code, std::string{core::to_string(why)} + "\n");
+    if (!attempt.empty())
+    {
+        m_wire.m_write_attempt(response, attempt);
+    }
+    if (retry_after.count() > 0)
+    {
+        std::chrono::duration<double> const seconds = retry_after;
+        response.set(
+            field::retry_after, fmt::format("{:.2f}", seconds.count()));
+    }
+    return response;
+}
+
+// The usual work follows the answers: their time is measured in usual work
+// times at the speed that the target reported.
+void dispatcher::learn(
+    core::directory::route const& route, call_result const& end)
+{
+    bool const tells = end.m_result.m_outcome == outcome::answered &&
+                       end.m_result.m_status < 400 && end.m_progress > 0;
+    if (!tells)
+    {
+        return;
+    }
+    auto& work = work_of(route);
+    double const factor = std::clamp(end.m_progress, 0.2, 3.0);
+    std::chrono::duration<double> const next =
+        work * (1.0 - work_weight + work_weight * factor);
+    work = std::chrono::duration_cast<core::duration>(next);
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -0,0 +1,177 @@
+#include "net/mesh/frame_stream.hpp"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "net/clock.hpp"
+#include "net/mesh/codec.hpp"
+#include "net/socket.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_bytes = 4'096;
+
+} // namespace
+
+frame_stream::frame_stream(asio::ip::tcp::socket socket)
+    : m_socket{std::move(socket)},
+      m_heard_at{clock_now()}
+{
+    beast::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    set_liveness(m_socket.native_handle());
+}
+
+void frame_stream::start(message_handler on_message, closed_handler on_closed)
+{
+    m_on_message = std::move(on_message);
+    m_on_closed = std::move(on_closed);
+    auto self = shared_from_this();
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self]() -> awaitable<void>
+        {
+            co_await self->read_loop();
+        },
+        asio::detached);
+}
+
+void frame_stream::send(message const& value)
+{
+    if (!m_open)
+    {
+        return;
+    }
+    m_outbox += encode_frame(value);
+    if (std::exchange(m_writing, true))
+    {
+        return;
+    }
+    auto self = shared_from_this();
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self]() -> awaitable<void>
+        {
+            co_await self->write_loop();
+        },
+        asio::detached);
+}
+
+void frame_stream::close()
+{
+    m_open = false;
+    m_on_message = nullptr;
+    m_on_closed = nullptr;
+    beast::error_code ignored;
+    m_socket.close(ignored);
+}
+
+bool frame_stream::is_open() const noexcept
+{
+    return m_open;
+}
+
+core::time_point frame_stream::heard_at() const noexcept
+{
+    return m_heard_at;
+}
+
+awaitable<void> frame_stream::read_loop()
+{
+    while (m_open)
+    {
+        auto const wanted = std::max(read_bytes, m_buffer.size());
+        auto const [error, count] = co_await m_socket.async_read_some(
+            m_buffer.prepare(wanted), no_throw);
+        if (error)
+        {
+            break;
+        }
+        m_buffer.commit(count);
+        m_heard_at = clock_now();
+        if (!take_frames())
+        {
+            break;
+        }
+    }
+    fail();
+}
+
+awaitable<void> frame_stream::write_loop()
+{
+    while (m_open && !m_outbox.empty())
+    {
+        std::string const bytes = std::exchange(m_outbox, {});
+        auto const [error, count] =
+            co_await asio::async_write(m_socket, asio::buffer(bytes), no_throw);
+        if (error)
+        {
+            fail();
+        }
+    }
+    m_writing = false;
+}
+
+// False where the bytes are no messages.
+bool frame_stream::take_frames()
+{
+    while (m_buffer.size() >= frame_head_bytes)
+    {
+        auto const data = m_buffer.cdata();
+        std::string_view const bytes{
+            static_cast<char const*>(data.data()), data.size()};
+        auto const length = frame_length(bytes);
+        if (length > max_frame_bytes)
+        {
+            return false;
+        }
+        if (bytes.size() < frame_head_bytes + length)
+        {
+            break;
+        }
+        auto value = decode_message(bytes.substr(frame_head_bytes, length));
+        m_buffer.consume(frame_head_bytes + length);
+        if (!value || !m_on_message)
+        {
+            return false;
+        }
+        // The handler may close the stream, which drops the handler.
+        auto const handler = m_on_message;
+        handler(std::move(*value));
+        if (!m_open)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void frame_stream::fail()
+{
+    if (!std::exchange(m_open, false))
+    {
+        return;
+    }
+    auto const handler = std::exchange(m_on_closed, nullptr);
+    m_on_message = nullptr;
+    beast::error_code ignored;
+    m_socket.close(ignored);
+    if (handler)
+    {
+        handler();
+    }
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/neighbours.cpp
@@ -0,0 +1,142 @@
+#include "net/mesh/neighbours.hpp"
+
+#include <set>
+#include <utility>
+
+#include "net/clock.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+neighbours::neighbours(asio::io_context& context, neighbours_options options)
+    : m_context{context},
+      m_options{std::move(options)},
+      m_self{std::make_shared<neighbour>()}
+{
+    m_self->m_address = m_options.m_address;
+    m_self->m_failure_domain = m_options.m_failure_domain;
+    m_self->m_is_self = true;
+    m_self->m_same_domain = true;
+    m_nodes.emplace(m_options.m_address, m_self);
+}
+
+void neighbours::change_directory(
+    core::directory::directory_ptr const& now_in_force)
+{
+    std::set<std::string> named{m_options.m_address};
+    m_members.clear();
+    for (auto const& target : now_in_force->targets())
+    {
+        auto const& address = target.m_address.m_address;
+        named.insert(address);
+        auto const node = meet(address);
+        node->m_failure_domain = target.m_failure_domain;
+        node->m_same_domain =
+            target.m_failure_domain == m_options.m_failure_domain;
+        auto const* const youngest = now_in_force->find_at(target.m_address);
+        if (youngest == &target && now_in_force->is_in_service(target))
+        {
+            m_members[target.m_service].push_back(node);
+        }
+    }
+    for (auto it = m_nodes.begin(); it != m_nodes.end();)
+    {
+        // Requests may still be with a node whose target has gone.
+        auto const& link = it->second->m_link;
+        bool const is_used = link && link->pending() > 0;
+        if (named.contains(it->first) || is_used)
+        {
+            ++it;
+            continue;
+        }
+        link->close();
+        it = m_nodes.erase(it);
+    }
+}
+
+void neighbours::on_status(
+    std::string const& address, node_status const& status, core::time_point now)
+{
+    auto const node = find(address);
+    if (!node || node->m_is_self)
+    {
+        return;
+    }
+    if (node->m_incarnation != status.m_incarnation)
+    {
+        node->m_incarnation = status.m_incarnation;
+        node->m_view = {};
+    }
+    node->m_heard_at = now;
+    node->m_revision = std::max(node->m_revision, status.m_revision);
+    node->m_reads = status.m_reads;
+    node->m_view.on_report(status.m_target, status.m_sequence, now);
+}
+
+std::vector<neighbour_ptr> const& neighbours::members_of(
+    std::string_view service) const
+{
+    static std::vector<neighbour_ptr> const none;
+    auto const it = m_members.find(service);
+    return it == m_members.end() ? none : it->second;
+}
+
+neighbour_ptr neighbours::find(std::string const& address) const
+{
+    auto const it = m_nodes.find(address);
+    return it == m_nodes.end() ? nullptr : it->second;
+}
+
+neighbour_ptr neighbours::meet(std::string const& address)
+{
+    auto& node = m_nodes[address];
+    if (node)
+    {
+        return node;
+    }
+    node = std::make_shared<neighbour>();
+    node->m_address = address;
+    peer_link_options options{
+        .m_remote = {.m_address = address, .m_port = m_options.m_port},
+        .m_local_address = m_options.m_address,
+        .m_hello =
+            {.m_node = m_options.m_address,
+             .m_incarnation = m_options.m_incarnation},
+        .m_on_changes = m_options.m_on_changes};
+    node->m_link = std::make_shared<peer_link>(m_context, std::move(options));
+    return node;
+}
+
+std::map<std::string, neighbour_ptr> const& neighbours::all() const noexcept
+{
+    return m_nodes;
+}
+
+neighbour_ptr const& neighbours::self() const noexcept
+{
+    return m_self;
+}
+
+Json::Value neighbours::to_json() const
+{
+    Json::Value list{Json::arrayValue};
+    auto const now = clock_now();
+    for (auto const& [address, node] : m_nodes)
+    {
+        Json::Value value{Json::objectValue};
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - node->m_heard_at);
+        value["address"] = address;
+        value["failure_domain"] = node->m_failure_domain;
+        value["revision"] = Json::UInt64{node->m_revision};
+        value["reads"] = node->m_reads;
+        value["heard_ms_ago"] = Json::Int64{age.count()};
+        value["load"] = node->m_view.load();
+        value["slowness_percent"] = node->m_view.report().m_slowness;
+        value["open"] = node->m_view.report().m_open;
+        list.append(value);
+    }
+    return list;
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -0,0 +1,268 @@
+#include "net/mesh/peer_server.hpp"
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "net/clock.hpp"
+#include "net/socket.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds accept_pause{50};
+
+// A sender that lost its connection asks again within this time, or its
+// requests that may be repeated are broken off.
+constexpr milliseconds claim_limit{400};
+
+// How long a result is kept for a sender that asks again, and how long it is
+// remembered that there was one; longer than any caller waits.
+constexpr milliseconds result_kept_for{3'000};
+constexpr milliseconds id_kept_for{15'000};
+constexpr milliseconds forget_interval{1'000};
+
+} // namespace
+
+struct peer_server::session
+{
+    std::shared_ptr<frame_stream> m_stream;
+    std::uint64_t m_incarnation = 0; ///< Of the sender; 0 before its hello.
+};
+
+peer_server::peer_server(
+    asio::io_context& context, peer_server_options options, target_gate& gate)
+    : m_context{context},
+      m_options{std::move(options)},
+      m_gate{gate},
+      m_acceptor{context}
+{
+}
+
+std::optional<std::string> peer_server::start()
+{
+    if (auto failure = open_listener(m_acceptor, m_options.m_listen, false))
+    {
+        return failure;
+    }
+    asio::co_spawn(m_context, accept_loop(), asio::detached);
+    asio::co_spawn(m_context, forget_loop(), asio::detached);
+    return std::nullopt;
+}
+
+awaitable<void> peer_server::accept_loop()
+{
+    while (m_acceptor.is_open())
+    {
+        auto [error, socket] = co_await m_acceptor.async_accept(no_throw);
+        if (error)
+        {
+            asio::steady_timer pause{m_context, accept_pause};
+            co_await pause.async_wait(no_throw);
+            continue;
+        }
+        take(std::move(socket));
+    }
+}
+
+awaitable<void> peer_server::forget_loop()
+{
+    asio::steady_timer timer{m_context};
+    while (m_acceptor.is_open())
+    {
+        timer.expires_after(forget_interval);
+        co_await timer.async_wait(no_throw);
+        auto const now = clock_now();
+        for (auto& [key, state] : m_runs)
+        {
+            if (state.m_ended && now - state.m_ended_at > result_kept_for)
+            {
+                state.m_result.reset();
+            }
+        }
+        std::erase_if(
+            m_runs,
+            [now](auto const& entry)
+            {
+                return entry.second.m_ended &&
+                       now - entry.second.m_ended_at > id_kept_for;
+            });
+    }
+}
+
+void peer_server::take(asio::ip::tcp::socket socket)
+{
+    auto connection = std::make_shared<session>();
+    connection->m_stream = std::make_shared<frame_stream>(std::move(socket));
+    std::weak_ptr<session> const weak = connection;
+    connection->m_stream->start(
+        [this, connection](message&& value)
+        {
+            on_message(connection, std::move(value));
+        },
+        [this, weak]
+        {
+            auto const ended = weak.lock();
+            if (!ended)
+            {
+                return;
+            }
+            auto const it = m_sessions.find(ended->m_incarnation);
+            if (it != m_sessions.end() && it->second == ended)
+            {
+                m_sessions.erase(it);
+                on_closed(ended->m_incarnation);
+            }
+        });
+    connection->m_stream->send(m_options.m_hello);
+}
+
+void peer_server::on_message(session_ptr const& from, message&& value)
+{
+    if (auto const* const who = std::get_if<hello>(&value))
+    {
+        from->m_incarnation = who->m_incarnation;
+        auto& current = m_sessions[who->m_incarnation];
+        if (current && current != from)
+        {
+            // What still comes over the old connection must not run: the
+            // sender learns over the new one that it is not known.
+            current->m_stream->close();
+        }
+        current = from;
+        return;
+    }
+    if (from->m_incarnation == 0)
+    {
+        return;
+    }
+    if (auto* const request = std::get_if<run_request>(&value))
+    {
+        on_run(from, std::move(*request));
+    }
+    else if (auto const* const wanted = std::get_if<resume_requests>(&value))
+    {
+        on_resume(from, *wanted);
+    }
+    else if (auto const* const left = std::get_if<cancel_request>(&value))
+    {
+        auto const it = m_runs.find(
+            {.m_incarnation = from->m_incarnation, .m_id = left->m_id});
+        if (it != m_runs.end() && !it->second.m_ended)
+        {
+            m_gate.cancel(it->second.m_ticket);
+            it->second.m_ended = true;
+            it->second.m_ended_at = clock_now();
+        }
+    }
+    else if (std::holds_alternative<ping>(value))
+    {
+        from->m_stream->send(ping{.m_is_answer = true});
+    }
+    else if (auto const* const asked = std::get_if<changes_wanted>(&value))
+    {
+        std::weak_ptr<frame_stream> const stream = from->m_stream;
+        m_options.m_changes_after(
+            asked->m_after,
+            [stream](core::directory::item_changes const& changes)
+            {
+                if (auto const open = stream.lock())
+                {
+                    open->send(changes);
+                }
+            });
+    }
+}
+
+void peer_server::on_run(session_ptr const& from, run_request&& request)
+{
+    run_key const key{
+        .m_incarnation = from->m_incarnation, .m_id = request.m_id};
+    auto& state = m_runs[key];
+    state.m_idempotent = request.m_idempotent;
+    auto const ticket = m_gate.run(
+        std::move(request),
+        [this, key](run_result result)
+        {
+            on_result(key, std::move(result));
+        });
+    m_runs[key].m_ticket = ticket;
+}
+
+void peer_server::on_resume(
+    session_ptr const& from, resume_requests const& wanted)
+{
+    for (auto const id : wanted.m_ids)
+    {
+        auto const it =
+            m_runs.find({.m_incarnation = from->m_incarnation, .m_id = id});
+        if (it == m_runs.end())
+        {
+            from->m_stream->send(run_result{
+                .m_id = id, .m_reason = core::reason::connection_broken});
+        }
+        else if (it->second.m_ended)
+        {
+            run_result const lost{
+                .m_id = id,
+                .m_outcome = outcome::may_have_run,
+                .m_reason = core::reason::connection_broken,
+                .m_reached_target = true};
+            from->m_stream->send(it->second.m_result.value_or(lost));
+        }
+    }
+}
+
+void peer_server::on_result(run_key const& key, run_result&& result)
+{
+    result.m_id = key.m_id;
+    auto& state = m_runs[key];
+    state.m_ended = true;
+    state.m_ended_at = clock_now();
+    auto const it = m_sessions.find(key.m_incarnation);
+    if (it != m_sessions.end())
+    {
+        it->second->m_stream->send(result);
+    }
+    state.m_result = std::move(result);
+}
+
+void peer_server::on_closed(std::uint64_t incarnation)
+{
+    asio::co_spawn(m_context, cancel_unclaimed(incarnation), asio::detached);
+}
+
+awaitable<void> peer_server::cancel_unclaimed(std::uint64_t incarnation)
+{
+    asio::steady_timer timer{m_context, claim_limit};
+    co_await timer.async_wait(no_throw);
+    if (m_sessions.contains(incarnation))
+    {
+        co_return;
+    }
+    std::vector<target_gate::ticket> unclaimed;
+    for (auto const& [key, state] : m_runs)
+    {
+        bool const is_theirs = key.m_incarnation == incarnation;
+        if (is_theirs && !state.m_ended)
+        {
+            unclaimed.push_back(state.m_ticket);
+        }
+    }
+    for (auto const ticket : unclaimed)
+    {
+        m_gate.abandon(ticket);
+    }
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -0,0 +1,172 @@
+#include "net/mesh/status_exchange.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "net/clock.hpp"
+#include "net/mesh/codec.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t max_datagram = 512;
+constexpr milliseconds receive_pause{50};
+
+// Inside the failure domain bytes are free, across its border they are dear.
+constexpr core::routing::telling_options nearby_telling{
+    .m_slowness_ratio = 1.1,
+    .m_load_share = 0.1,
+    .m_least = milliseconds{15},
+    .m_most = milliseconds{400}};
+constexpr core::routing::telling_options distant_telling{
+    .m_slowness_ratio = 1.4,
+    .m_load_share = 0.3,
+    .m_least = milliseconds{20},
+    .m_most = milliseconds{1'500}};
+
+} // namespace
+
+status_exchange::status_exchange(
+    asio::io_context& context, status_exchange_options options,
+    neighbours& nodes)
+    : m_context{context},
+      m_options{std::move(options)},
+      m_nodes{nodes},
+      m_socket{context},
+      m_timer{context},
+      m_nearby{nearby_telling},
+      m_distant{distant_telling}
+{
+    m_status.m_incarnation = m_options.m_incarnation;
+}
+
+std::optional<std::string> status_exchange::start()
+{
+    beast::error_code error;
+    auto const& listen = m_options.m_listen;
+    asio::ip::udp::endpoint const address{
+        asio::ip::make_address(listen.m_address, error), listen.m_port};
+    if (!error)
+    {
+        m_socket.open(address.protocol(), error);
+    }
+    if (!error)
+    {
+        m_socket.bind(address, error);
+    }
+    if (error)
+    {
+        return core::to_string(listen) + ": " + error.message();
+    }
+    asio::co_spawn(m_context, receive_loop(), asio::detached);
+    asio::co_spawn(m_context, tell_loop(), asio::detached);
+    return std::nullopt;
+}
+
+void status_exchange::set_published(
+    std::uint64_t revision, bool reads, bool returned)
+{
+    bool const is_news = m_status.m_revision != revision ||
+                         m_status.m_reads != reads ||
+                         m_status.m_returned != returned;
+    m_status.m_revision = revision;
+    m_status.m_reads = reads;
+    m_status.m_returned = returned;
+    if (is_news)
+    {
+        tell_all();
+    }
+}
+
+void status_exchange::on_change()
+{
+    m_timer.cancel();
+}
+
+void status_exchange::tell_all()
+{
+    tell(true, true);
+}
+
+awaitable<void> status_exchange::receive_loop()
+{
+    std::array<char, max_datagram> bytes{};
+    asio::ip::udp::endpoint sender;
+    while (m_socket.is_open())
+    {
+        auto const [error, count] = co_await m_socket.async_receive_from(
+            asio::buffer(bytes), sender, no_throw);
+        if (error)
+        {
+            asio::steady_timer pause{m_context, receive_pause};
+            co_await pause.async_wait(no_throw);
+            continue;
+        }
+        auto const status = decode_status({bytes.data(), count});
+        if (status)
+        {
+            m_options.m_on_status(sender.address().to_string(), *status);
+        }
+    }
+}
+
+awaitable<void> status_exchange::tell_loop()
+{
+    while (m_socket.is_open())
+    {
+        auto const now = clock_now();
+        auto const report = m_options.m_report();
+        tell(m_nearby.is_due(report, now), m_distant.is_due(report, now));
+        m_timer.expires_at(
+            std::min(m_nearby.next(report, now), m_distant.next(report, now)));
+        co_await m_timer.async_wait(no_throw);
+    }
+}
+
+void status_exchange::tell(bool nearby, bool distant)
+{
+    if (!nearby && !distant)
+    {
+        return;
+    }
+    auto const now = clock_now();
+    ++m_status.m_sequence;
+    m_status.m_target = m_options.m_report();
+    auto const bytes = encode_status(m_status);
+    for (auto const& [address, node] : m_nodes.all())
+    {
+        bool const is_wanted = node->m_same_domain ? nearby : distant;
+        if (node->m_is_self || !is_wanted)
+        {
+            continue;
+        }
+        beast::error_code ignored;
+        m_socket.send_to(
+            asio::buffer(bytes),
+            {asio::ip::make_address(address, ignored),
+             m_options.m_listen.m_port},
+            0, ignored);
+    }
+    if (nearby)
+    {
+        m_nearby.on_told(m_status.m_target, now);
+    }
+    if (distant)
+    {
+        m_distant.on_told(m_status.m_target, now);
+    }
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -0,0 +1,580 @@
+#include "net/mesh/target_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <hibiscustide/net/event_log.hpp>
+
+#include "net/clock.hpp"
+#include "net/headers.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+using core::admission::target_outcome;
+using core::observe::event;
+using std::chrono::milliseconds;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned http_1_1 = 11;
+constexpr milliseconds probe_limit{400};
+constexpr milliseconds probe_idle_limit{5'000};
+
+// Targets that say nothing close idle connections after about ten seconds.
+constexpr milliseconds idle_limit{4'000};
+
+// A request that can't be repeated goes only over a connection that has been
+// used so lately that the target has not dropped it.
+constexpr milliseconds fresh_enough{1'000};
+
+milliseconds left_until(core::time_point deadline)
+{
+    auto const left = deadline - clock_now();
+    return std::max(
+        milliseconds{1}, std::chrono::duration_cast<milliseconds>(left));
+}
+
+run_result refusal(
+    core::reason why, bool reached_target = false,
+    core::duration retry_after = {})
+{
+    return {
+        .m_outcome = outcome::not_run,
+        .m_reason = why,
+        .m_retry_after_ms =
+            std::chrono::duration_cast<milliseconds>(retry_after).count(),
+        .m_reached_target = reached_target};
+}
+
+} // namespace
+
+struct target_gate::work
+{
+    ticket m_ticket = 0;
+    run_request m_request;
+    done_handler m_done;
+    core::time_point m_deadline;
+    core::time_point m_objective;
+    core::time_point m_started_at{};
+    call_scope m_scope;
+    bool m_running = false;
+    bool m_cancelled = false;
+};
+
+target_gate::target_gate(
+    asio::io_context& context, target_gate_options options,
+    protocol const& wire, metrics& counts)
+    : m_context{context},
+      m_options{std::move(options)},
+      m_wire{wire},
+      m_counts{counts},
+      m_pool{
+          context,
+          {.m_remote = m_options.m_target,
+           .m_idle_limit = idle_limit,
+           .m_answers =
+               [&wire](http_request const& request, http_response const& answer)
+           {
+               return wire.m_read_caller(request).m_attempt ==
+                      wire.m_read_answer(answer).m_attempt;
+           }}},
+      m_probe_pool{
+          context,
+          {.m_remote = m_options.m_target, .m_idle_limit = probe_idle_limit}},
+      m_probe_timer{context},
+      m_directory{std::make_shared<core::directory::directory const>()},
+      m_health{clock_now()}
+{
+}
+
+void target_gate::start()
+{
+    asio::co_spawn(m_context, probe_loop(), asio::detached);
+}
+
+target_gate::ticket target_gate::run(run_request request, done_handler done)
+{
+    auto const now = clock_now();
+    auto const id = m_next_ticket++;
+    if (auto const why = closed_for(request))
+    {
+        done(refusal(*why));
+        return id;
+    }
+    auto item = std::make_shared<work>();
+    item->m_ticket = id;
+    item->m_deadline = now + milliseconds{request.m_left_ms};
+    item->m_objective = now + milliseconds{request.m_objective_ms};
+    core::admission::admission_request const entry{
+        .m_id = id,
+        .m_for_running_work = request.m_for_running_work,
+        .m_priority = request.m_priority,
+        .m_objective = item->m_objective,
+        .m_deadline = item->m_deadline,
+        .m_work = milliseconds{request.m_work_ms}};
+    item->m_request = std::move(request);
+    item->m_done = std::move(done);
+    m_queue.set_slowness(m_health.slowness());
+    bool const is_cold = m_health.is_cold(now);
+    if (is_cold && m_cold.left(now) == 0)
+    {
+        item->m_done(
+            refusal(core::reason::target_cold, false, m_cold.next(now) - now));
+        return id;
+    }
+    auto const decision = m_queue.enter(entry, now);
+    if (auto const* const refused =
+            std::get_if<core::admission::refuse_request>(&decision))
+    {
+        item->m_done(refusal(refused->m_reason, false, refused->m_retry_after));
+        return id;
+    }
+    m_work.emplace(id, item);
+    if (std::holds_alternative<core::admission::run_now>(decision))
+    {
+        if (is_cold)
+        {
+            static_cast<void>(m_cold.take(now));
+        }
+        start_work(item);
+    }
+    if (m_on_change)
+    {
+        m_on_change();
+    }
+    return id;
+}
+
+void target_gate::cancel(ticket which)
+{
+    auto const it = m_work.find(which);
+    if (it == m_work.end())
+    {
+        return;
+    }
+    auto const item = it->second;
+    item->m_cancelled = true;
+    if (m_queue.remove(which))
+    {
+        m_work.erase(it);
+        return;
+    }
+    if (item->m_request.m_idempotent)
+    {
+        item->m_scope.cancel();
+    }
+}
+
+void target_gate::abandon(ticket which)
+{
+    auto const it = m_work.find(which);
+    if (it == m_work.end())
+    {
+        return;
+    }
+    auto const item = it->second;
+    if (m_queue.remove(which))
+    {
+        finish(item, refusal(core::reason::caller_left));
+    }
+    else if (item->m_request.m_idempotent)
+    {
+        item->m_scope.cancel();
+    }
+}
+
+void target_gate::change_directory(
+    core::directory::directory_ptr const& now_in_force)
+{
+    m_directory = now_in_force;
+    update_entry();
+}
+
+void target_gate::begin_leaving()
+{
+    m_leaving = true;
+    if (m_on_change)
+    {
+        m_on_change();
+    }
+}
+
+std::size_t target_gate::busy() const noexcept
+{
+    return m_work.size();
+}
+
+core::routing::target_report target_gate::report() const
+{
+    auto const now = clock_now();
+    bool const is_open = !m_leaving && m_entry &&
+                         m_directory->is_in_service(*m_entry) &&
+                         m_health.is_up(now);
+    bool const cold = m_health.is_cold(now);
+    return {
+        .m_running = m_queue.running(),
+        .m_waiting = m_queue.waiting(),
+        .m_slots = m_queue.slots(),
+        .m_slowness = m_health.slowness(),
+        .m_failing =
+            static_cast<std::uint32_t>(m_health.failure_share(now) * 100),
+        .m_cold_left = cold ? m_cold.left(now) : 0,
+        .m_cold = cold,
+        .m_open = is_open};
+}
+
+void target_gate::on_change(std::function<void()> handler)
+{
+    m_on_change = std::move(handler);
+}
+
+Json::Value target_gate::to_json() const
+{
+    auto const state = report();
+    Json::Value value{Json::objectValue};
+    value["instance"] = m_entry ? m_entry->m_instance : "";
+    value["open"] = state.m_open;
+    value["running"] = state.m_running;
+    value["waiting"] = state.m_waiting;
+    value["slots"] = state.m_slots;
+    value["slowness_percent"] = state.m_slowness;
+    value["failing_percent"] = state.m_failing;
+    value["cold"] = state.m_cold;
+    value["connections"] = Json::UInt64{m_pool.open()};
+    return value;
+}
+
+awaitable<void> target_gate::probe_loop()
+{
+    while (true)
+    {
+        co_await probe_once();
+        m_probe_timer.expires_after(m_options.m_probe_interval);
+        co_await m_probe_timer.async_wait(no_throw);
+    }
+}
+
+awaitable<void> target_gate::probe_once()
+{
+    if (m_health_path.empty())
+    {
+        co_return;
+    }
+    http_request request{beast::http::verb::get, m_health_path, http_1_1};
+    request.set(field::host, core::to_string(m_options.m_target));
+    m_counts.add(counter::probes);
+    auto const before = report();
+    auto const exchanged = co_await m_probe_pool.exchange(
+        request, clock_now() + probe_limit, nullptr);
+    auto const now = clock_now();
+    if (auto const* const response = std::get_if<http_response>(&exchanged))
+    {
+        auto const answer = m_wire.m_read_health(*response);
+        auto const previous = m_health.instance();
+        if (m_health.on_probe(answer, now))
+        {
+            m_cold.start(m_cold_per_second, now);
+            log_event(
+                event::target_cold,
+                {{"target", answer.m_instance},
+                 {"warm_up_left_ms", answer.m_warm_up_left.count()}});
+        }
+        if (previous != m_health.instance())
+        {
+            m_pool.retire_idle();
+            update_entry();
+        }
+    }
+    else
+    {
+        auto const& failure = std::get<exchange_failure>(exchanged);
+        m_health.on_probe_failed(
+            failure.m_reason == core::reason::connect_failed, now);
+    }
+    auto const after = report();
+    if (before.m_open != after.m_open)
+    {
+        log_event(
+            after.m_open ? event::target_up : event::target_down,
+            {{"target", m_entry ? m_entry->m_instance : ""},
+             {"because", "probe"}});
+    }
+    for (auto const late : m_queue.take_hopeless(now))
+    {
+        refuse_waiting(late, core::reason::deadline_passed);
+    }
+    pump();
+    if (before != after && m_on_change)
+    {
+        m_on_change();
+    }
+}
+
+void target_gate::start_work(std::shared_ptr<work> const& item)
+{
+    item->m_running = true;
+    item->m_started_at = clock_now();
+    asio::co_spawn(
+        m_context,
+        [this, item]() -> awaitable<void>
+        {
+            co_await exchange(item);
+        },
+        asio::detached);
+}
+
+awaitable<void> target_gate::exchange(std::shared_ptr<work> item)
+{
+    auto const request = to_http(*item);
+    core::duration const max_idle = item->m_request.m_idempotent
+                                        ? core::duration{idle_limit}
+                                        : core::duration{fresh_enough};
+    auto exchanged = co_await m_pool.exchange(
+        request, item->m_deadline, &item->m_scope, max_idle);
+    finish(item, to_result(*item, std::move(exchanged)));
+}
+
+void target_gate::finish(std::shared_ptr<work> const& item, run_result result)
+{
+    m_work.erase(item->m_ticket);
+    if (item->m_running)
+    {
+        m_queue.end();
+    }
+    if (!item->m_cancelled)
+    {
+        item->m_done(std::move(result));
+    }
+    pump();
+    if (m_on_change)
+    {
+        m_on_change();
+    }
+}
+
+void target_gate::refuse_waiting(ticket which, core::reason why)
+{
+    auto const it = m_work.find(which);
+    if (it == m_work.end())
+    {
+        return;
+    }
+    auto const item = it->second;
+    finish(item, refusal(why));
+}
+
+// Starts what waits, as far as slots are free. What the target may no longer
+// get is refused instead.
+void target_gate::pump()
+{
+    if (m_work.empty())
+    {
+        return;
+    }
+    auto const now = clock_now();
+    bool const is_cold = m_health.is_cold(now);
+    while (!is_cold || m_cold.left(now) > 0)
+    {
+        auto const id = m_queue.next(now);
+        if (!id)
+        {
+            return;
+        }
+        auto const it = m_work.find(*id);
+        if (it == m_work.end())
+        {
+            m_queue.end();
+            continue;
+        }
+        auto const item = it->second;
+        auto const why = closed_for(item->m_request);
+        if (why)
+        {
+            m_queue.end();
+            refuse_waiting(*id, *why);
+            continue;
+        }
+        if (is_cold)
+        {
+            static_cast<void>(m_cold.take(now));
+        }
+        start_work(item);
+    }
+}
+
+// The entry at the target's address; where several claim it, the one that
+// answers there.
+void target_gate::update_entry()
+{
+    auto const was_open = report().m_open;
+    auto const* entry = m_directory->find_at(m_options.m_target);
+    auto const* const answering = m_directory->find(m_health.instance());
+    if (answering != nullptr && answering->m_address == m_options.m_target)
+    {
+        entry = answering;
+    }
+    m_entry = entry == nullptr ? std::nullopt : std::optional{*entry};
+    if (!m_entry)
+    {
+        return;
+    }
+    m_queue.set_slots(m_entry->m_slots);
+    auto const* const service = core::directory::find_service(
+        m_directory->config(), m_entry->m_service);
+    if (service == nullptr)
+    {
+        return;
+    }
+    m_health_path = service->m_health_path;
+    m_cold_per_second = service->m_cold_rate;
+    m_pool.limit(std::max<std::uint32_t>(service->m_max_connections, 4) - 3);
+    auto const is_open = report().m_open;
+    if (was_open != is_open && m_on_change)
+    {
+        m_on_change();
+    }
+}
+
+std::optional<core::reason> target_gate::closed_for(
+    run_request const& request) const
+{
+    if (m_leaving)
+    {
+        return core::reason::draining;
+    }
+    if (!m_entry || m_entry->m_service != request.m_service)
+    {
+        return core::reason::unknown_service;
+    }
+    if (m_entry->m_draining)
+    {
+        return core::reason::draining;
+    }
+    if (!m_directory->is_in_service(*m_entry))
+    {
+        return core::reason::withdrawn;
+    }
+    if (!m_health.is_up(clock_now()))
+    {
+        return core::reason::target_down;
+    }
+    return std::nullopt;
+}
+
+http_request target_gate::to_http(work const& item) const
+{
+    auto const& wanted = item.m_request;
+    http_request request;
+    request.version(http_1_1);
+    request.method_string(wanted.m_method);
+    request.target(wanted.m_path);
+    for (auto const& entry : wanted.m_fields)
+    {
+        request.insert(entry.m_name, entry.m_value);
+    }
+    request.body() = wanted.m_body;
+    target_fields const fields{
+        .m_attempt = wanted.m_attempt,
+        .m_instance = m_entry ? m_entry->m_instance : "",
+        .m_caller = wanted.m_caller,
+        .m_left = left_until(item.m_deadline)};
+    m_wire.m_write_target(request, fields);
+    bool const has_body = !wanted.m_body.empty() || wanted.m_method == "POST" ||
+                          wanted.m_method == "PUT" ||
+                          wanted.m_method == "PATCH";
+    if (has_body)
+    {
+        request.content_length(wanted.m_body.size());
+    }
+    return request;
+}
+
+run_result target_gate::to_result(work const& item, exchange_result&& exchanged)
+{
+    if (auto const* const failure = std::get_if<exchange_failure>(&exchanged))
+    {
+        bool const refused = failure->m_reason == core::reason::connect_failed;
+        if (refused)
+        {
+            m_health.on_connect_failed(clock_now());
+        }
+        if (failure->m_reason != core::reason::caller_left)
+        {
+            note_outcome(item, target_outcome::failed);
+        }
+        if (!failure->m_sent)
+        {
+            return refusal(failure->m_reason);
+        }
+        m_pool.retire_idle();
+        return {
+            .m_outcome = outcome::may_have_run,
+            .m_reason = failure->m_reason,
+            .m_reached_target = true};
+    }
+    auto& response = std::get<http_response>(exchanged);
+    auto const fields = m_wire.m_read_answer(response);
+    if (fields.m_not_run)
+    {
+        note_outcome(item, target_outcome::refused);
+        auto const why = fields.m_other_instance ? core::reason::withdrawn
+                                                 : core::reason::target_refused;
+        return refusal(why, !fields.m_other_instance);
+    }
+    auto const status = response.result_int();
+    bool const is_success = status >= 200 && status < 300;
+    if (is_success && !fields.m_is_genuine)
+    {
+        note_outcome(item, target_outcome::failed);
+        m_counts.add(counter::answers_mismatched);
+        return {
+            .m_outcome = outcome::may_have_run,
+            .m_reason = core::reason::answer_mismatched,
+            .m_reached_target = true};
+    }
+    note_outcome(
+        item,
+        status >= 500 ? target_outcome::failed : target_outcome::answered);
+    m_counts.observe_target(clock_now() - item.m_started_at);
+    run_result result{
+        .m_outcome = outcome::answered,
+        .m_reached_target = true,
+        .m_status = status};
+    headers::remove_hop_by_hop(response);
+    for (auto const& entry : response)
+    {
+        std::string_view const name{
+            entry.name_string().data(), entry.name_string().size()};
+        if (!m_wire.m_is_internal(name) && name != "Content-Length")
+        {
+            result.m_fields.push_back(
+                {.m_name = std::string{name},
+                 .m_value = std::string{entry.value()}});
+        }
+    }
+    result.m_body = std::move(response.body());
+    return result;
+}
+
+void target_gate::note_outcome(work const& item, target_outcome what)
+{
+    auto const now = clock_now();
+    // Silence up to a deadline that was short anyway says nothing.
+    bool const is_short =
+        now - item.m_started_at < milliseconds{item.m_request.m_work_ms};
+    if (what == target_outcome::failed && is_short && now >= item.m_deadline)
+    {
+        return;
+    }
+    m_health.on_outcome(what, now);
+}
+
+} // namespace hibiscustide::net::mesh
--- /dev/null
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -0,0 +1,342 @@
+#include <hibiscustide/net/mesh_node.hpp>
+
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <hibiscustide/net/event_log.hpp>
+
+#include "net/clock.hpp"
+#include "net/http_server.hpp"
+#include "net/mesh/directory_sync.hpp"
+#include "net/mesh/protocol.hpp"
+#include "net/mesh/publisher.hpp"
+#include "net/mesh/traffic.hpp"
+#include "net/metrics.hpp"
+#include "net/replies.hpp"
+
+namespace hibiscustide::net
+{
+
+namespace
+{
+
+using core::observe::event;
+using std::chrono::milliseconds;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+
+// Callers are led elsewhere once they have asked twice in vain, each second.
+constexpr milliseconds leave_notice{2'600};
+
+// A client that has just connected sends its request within this time.
+constexpr milliseconds idle_grace{250};
+constexpr milliseconds stop_check_interval{20};
+constexpr milliseconds flush_interval{200};
+constexpr std::size_t max_ready_connections = 16;
+
+} // namespace
+
+struct mesh_node::implementation
+{
+    implementation(
+        core::config::mesh_settings settings, mesh::protocol wire,
+        publisher_factory const& make_publisher, settings_reader reread);
+
+    std::optional<std::string> start();
+    mesh::traffic_handlers make_handlers();
+    awaitable<http_response> answer_ready(http_request& request);
+    awaitable<http_response> answer_admin(http_request& request);
+    awaitable<http_response> state_reply();
+    awaitable<void> wait_for_signals();
+    awaitable<void> flush_loop();
+    awaitable<void> shut_down();
+    awaitable<void> pause(core::duration span);
+    void reload();
+    [[nodiscard]] std::shared_ptr<http_server> make_server(
+        core::endpoint const& listen,
+        awaitable<http_response> (implementation::*answer)(http_request&));
+
+    core::config::mesh_settings m_settings;
+    mesh::protocol m_wire;
+    settings_reader m_reread;
+    asio::io_context m_context{1};
+    asio::signal_set m_signals;
+    metrics m_counts;
+    mesh::directory_sync m_directory;
+    mesh::traffic m_traffic;
+    std::shared_ptr<http_server> m_ready;
+    std::shared_ptr<http_server> m_admin;
+    core::time_point m_started_at = clock_now();
+    std::uint64_t m_version = 0;
+    bool m_leaving = false;
+};
+
+mesh_node::implementation::implementation(
+    core::config::mesh_settings settings, mesh::protocol wire,
+    publisher_factory const& make_publisher, settings_reader reread)
+    : m_settings{std::move(settings)},
+      m_wire{std::move(wire)},
+      m_reread{std::move(reread)},
+      m_signals{m_context},
+      m_directory{
+          m_context,
+          {.m_address = m_settings.m_peer_listen.m_address,
+           .m_on_update =
+               [this](mesh::directory_update const& update)
+           {
+               m_version = update.m_directory->config().m_version;
+               m_traffic.update(update);
+           }},
+          make_publisher(m_context),
+          m_counts},
+      m_traffic{m_settings, m_wire, m_counts, make_handlers()}
+{
+}
+
+std::optional<std::string> mesh_node::implementation::start()
+{
+    m_ready =
+        make_server(m_settings.m_ready_listen, &implementation::answer_ready);
+    m_admin =
+        make_server(m_settings.m_admin_listen, &implementation::answer_admin);
+    auto failure = m_ready->start();
+    failure = failure ? failure : m_admin->start();
+    failure = failure ? failure : m_traffic.start();
+    if (failure)
+    {
+        return failure;
+    }
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    m_signals.add(SIGHUP);
+    asio::co_spawn(m_context, wait_for_signals(), asio::detached);
+    asio::co_spawn(m_context, flush_loop(), asio::detached);
+    m_directory.start();
+    log_event(
+        event::node_started,
+        {{"callers", core::to_string(m_settings.m_caller_listen)},
+         {"peers", core::to_string(m_settings.m_peer_listen)},
+         {"admin", core::to_string(m_settings.m_admin_listen)}});
+    return std::nullopt;
+}
+
+// Everything that comes from the traffic thread is posted to the control
+// thread, and answers go back the same way.
+mesh::traffic_handlers mesh_node::implementation::make_handlers()
+{
+    return {
+        .m_on_status =
+            [this, returned = false](
+                std::string const& address, bool same_domain,
+                mesh::node_status const& status) mutable
+        {
+            bool const is_return = status.m_returned && !returned;
+            returned = status.m_returned;
+            bool const tells_of_reading = same_domain && status.m_reads;
+            if (!is_return && !tells_of_reading)
+            {
+                return;
+            }
+            asio::post(
+                m_context,
+                [this, address, is_return, tells_of_reading]
+                {
+                    if (tells_of_reading)
+                    {
+                        m_directory.on_peer(address, true);
+                    }
+                    if (is_return)
+                    {
+                        m_directory.on_service_returned();
+                    }
+                });
+        },
+        .m_on_changes =
+            [this](core::directory::item_changes&& changes)
+        {
+            asio::post(
+                m_context,
+                [this, changes = std::move(changes)]
+                {
+                    m_directory.on_changes(changes);
+                });
+        },
+        .m_changes_after =
+            [this](
+                std::uint64_t after,
+                std::function<void(core::directory::item_changes)> reply)
+        {
+            asio::post(
+                m_context,
+                [this, after, reply = std::move(reply)]
+                {
+                    m_traffic.reply(reply, m_directory.changes_after(after));
+                });
+        }};
+}
+
+std::shared_ptr<http_server> mesh_node::implementation::make_server(
+    core::endpoint const& listen,
+    awaitable<http_response> (implementation::*answer)(http_request&))
+{
+    auto handler =
+        [this, answer](
+            http_request& request, std::shared_ptr<call_scope> const& /*scope*/)
+    {
+        return (this->*answer)(request);
+    };
+    http_server_options const options{
+        .m_listen = listen, .m_max_connections = max_ready_connections};
+    return std::make_shared<http_server>(
+        m_context, options, handler, malformed_reply);
+}
+
+// Ready means that calls are served: a configuration is in force and the node
+// stays.
+awaitable<http_response> mesh_node::implementation::answer_ready(
+    http_request& request)
+{
+    if (request.target() != m_wire.m_ready_path)
+    {
+        co_return text_reply(status::not_found, "not found\n");
+    }
+    bool const is_ready = !m_leaving && m_version > 0;
+    co_return text_reply(
+        is_ready ? status::ok : status::service_unavailable,
+        is_ready ? "ready\n" : "not ready\n");
+}
+
+awaitable<http_response> mesh_node::implementation::answer_admin(
+    http_request& request)
+{
+    if (request.target() == "/metrics")
+    {
+        co_return text_reply(status::ok, m_counts.to_text());
+    }
+    if (request.target() == "/state")
+    {
+        co_return co_await state_reply();
+    }
+    co_return text_reply(status::not_found, "known paths: /metrics, /state\n");
+}
+
+awaitable<http_response> mesh_node::implementation::state_reply()
+{
+    Json::Value value{Json::objectValue};
+    value["name"] = m_settings.m_name;
+    value["failure_domain"] = m_settings.m_failure_domain;
+    value["service"] = m_settings.m_service;
+    value["build"] = HIBISCUSTIDE_VERSION;
+    value["leaving"] = m_leaving;
+    value["up_ms"] = Json::Int64{
+        std::chrono::duration_cast<milliseconds>(clock_now() - m_started_at)
+            .count()};
+    value["directory"] = m_directory.to_json();
+    value["traffic"] = co_await m_traffic.state();
+    value["counters"] = m_counts.to_json();
+    co_return json_reply(value);
+}
+
+awaitable<void> mesh_node::implementation::wait_for_signals()
+{
+    while (true)
+    {
+        auto const [error, number] = co_await m_signals.async_wait(no_throw);
+        if (!error && number == SIGHUP)
+        {
+            reload();
+            continue;
+        }
+        break;
+    }
+    co_await shut_down();
+}
+
+awaitable<void> mesh_node::implementation::flush_loop()
+{
+    while (true)
+    {
+        co_await pause(flush_interval);
+        flush_event_log();
+    }
+}
+
+// Answers everything that was read, and stays long enough for callers to be led
+// elsewhere.
+awaitable<void> mesh_node::implementation::shut_down()
+{
+    log_event(event::node_stopping);
+    auto const began_at = clock_now();
+    auto const limit = began_at + m_settings.m_stop_limit;
+    m_leaving = true;
+    m_traffic.begin_leaving();
+    co_await pause(leave_notice);
+    m_traffic.stop_accepting();
+    co_await pause(idle_grace);
+    m_traffic.close_idle();
+    auto left = co_await m_traffic.busy();
+    while (left > 0 && clock_now() < limit)
+    {
+        co_await pause(stop_check_interval);
+        left = co_await m_traffic.busy();
+    }
+    log_event(event::node_stopped, {{"cut", static_cast<std::int64_t>(left)}});
+    m_context.stop();
+}
+
+awaitable<void> mesh_node::implementation::pause(core::duration span)
+{
+    asio::steady_timer timer{m_context, span};
+    co_await timer.async_wait(no_throw);
+}
+
+void mesh_node::implementation::reload()
+{
+    auto const changed = m_reread();
+    if (!changed)
+    {
+        return;
+    }
+    set_event_level(changed->m_log_level);
+    auto expected = *changed;
+    expected.m_log_level = m_settings.m_log_level;
+    bool const needs_restart = expected != m_settings;
+    m_settings.m_log_level = changed->m_log_level;
+    log_event(
+        event::settings_reloaded,
+        {{"log_level", m_settings.m_log_level},
+         {"needs_restart", std::int64_t{needs_restart}}});
+}
+
+mesh_node::mesh_node(
+    core::config::mesh_settings settings, mesh::protocol wire,
+    publisher_factory const& make_publisher, settings_reader reread)
+    : m_implementation{std::make_unique<implementation>(
+          std::move(settings), std::move(wire), make_publisher,
+          std::move(reread))}
+{
+}
+
+mesh_node::~mesh_node() = default;
+
+std::optional<std::string> mesh_node::start()
+{
+    return m_implementation->start();
+}
+
+void mesh_node::run()
+{
+    m_implementation->m_context.run();
+    m_implementation->m_traffic.stop();
+    flush_event_log();
+}
+
+} // namespace hibiscustide::net
--- a/src/libhibiscustide/net/node.cpp
+++ b/src/libhibiscustide/net/node.cpp
@@ -302,6 +302,7 @@
     while (true)
     {
         co_await pause(tick_interval);
+        flush_event_log();
         auto const late = clock_now() - expected;
         if (late > pause_threshold)
         {
@@ -382,6 +383,7 @@
     {
         thread->stop();
     }
+    flush_event_log();
 }
 
 void node::stop()
--- a/src/libhibiscustide/net/socket.cpp
+++ b/src/libhibiscustide/net/socket.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -24,6 +25,16 @@
     return errno == EAGAIN || errno == EWOULDBLOCK;
 }
 
+boost::system::error_code set_reuse_port(int native) noexcept
+{
+    int const on = 1;
+    if (::setsockopt(native, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0)
+    {
+        return {errno, boost::system::system_category()};
+    }
+    return {};
+}
+
 } // namespace
 
 boost::asio::ip::tcp::endpoint to_asio(core::endpoint const& value)
@@ -42,14 +53,35 @@
     return peek(native) < 0 && would_block();
 }
 
-boost::system::error_code set_reuse_port(int native) noexcept
+std::optional<std::string> open_listener(
+    boost::asio::ip::tcp::acceptor& acceptor, core::endpoint const& listen,
+    bool reuse_port)
 {
-    int const on = 1;
-    if (::setsockopt(native, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0)
+    namespace asio = boost::asio;
+    auto const address = to_asio(listen);
+    boost::system::error_code error;
+    acceptor.open(address.protocol(), error);
+    if (!error)
     {
-        return {errno, boost::system::system_category()};
+        acceptor.set_option(asio::socket_base::reuse_address{true}, error);
     }
-    return {};
+    if (!error && reuse_port)
+    {
+        error = set_reuse_port(acceptor.native_handle());
+    }
+    if (!error)
+    {
+        acceptor.bind(address, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return core::to_string(listen) + ": " + error.message();
+    }
+    return std::nullopt;
 }
 
 void set_bind_no_port(int native) noexcept
@@ -59,4 +91,23 @@
         native, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on)));
 }
 
+void set_liveness(int native) noexcept
+{
+    constexpr int on = 1;
+    constexpr int probe_after_s = 1;
+    constexpr int probe_interval_s = 1;
+    constexpr int probes = 2;
+    constexpr unsigned unacknowledged_ms = 2'500;
+    auto const set = [native](int level, int name, auto value)
+    {
+        static_cast<void>(
+            ::setsockopt(native, level, name, &value, sizeof(value)));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, on);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_after_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
 } // namespace hibiscustide::net
--- a/src/libhibiscustide/net/socket.hpp
+++ b/src/libhibiscustide/net/socket.hpp
@@ -3,6 +3,9 @@
 #ifndef HIBISCUSTIDE_NET_SOCKET_HPP
 #define HIBISCUSTIDE_NET_SOCKET_HPP
 
+#include <optional>
+#include <string>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 
@@ -22,13 +25,20 @@
 /// state in which an idle connection may carry a request.
 [[nodiscard]] bool is_idle(int native) noexcept;
 
-/// Lets several sockets listen on one port.
-[[nodiscard]] boost::system::error_code set_reuse_port(int native) noexcept;
+/// Opens, binds and listens. With `reuse_port` several listeners share one
+/// port. The address and the reason where it can't be done.
+[[nodiscard]] std::optional<std::string> open_listener(
+    boost::asio::ip::tcp::acceptor& acceptor, core::endpoint const& listen,
+    bool reuse_port);
 
 /// Lets the system choose the port of a bound socket when it connects, so
 /// that one port can serve connections to several servers.
 void set_bind_no_port(int native) noexcept;
 
+/// Lets the system notice within some seconds that the peer is gone: sent data
+/// that stays unacknowledged and, on an idle connection, probes.
+void set_liveness(int native) noexcept;
+
 } // namespace hibiscustide::net
 
 #endif
--- a/testsuite/run_case.sh
+++ b/testsuite/run_case.sh
@@ -21,6 +21,13 @@
 while read -r process; do
     kill "$process" 2>/dev/null
 done < <(cat processes 2>/dev/null)
+# They drain before they end; the next session needs their addresses.
+while read -r process; do
+    for _ in $(seq 200); do
+        kill -0 "$process" 2>/dev/null || break
+        sleep 0.05
+    done
+done < <(cat processes 2>/dev/null)
 echo "exit status $status" >>out.txt
 if [ "${REFRESH:-}" = 1 ]; then
     mkdir -p "$CASE/ref" && cp out.txt "$CASE/ref/out.txt"
