--- a/src/include/hibiscustide/core/admission/admission_queue.hpp
+++ b/src/include/hibiscustide/core/admission/admission_queue.hpp
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include <hibiscustide/core/routing/speed.hpp>
 #include <hibiscustide/core/time.hpp>
 #include <hibiscustide/core/verdict.hpp>
 
@@ -22,8 +23,7 @@
 struct admission_request
 {
     std::uint64_t m_id = 0;
-    bool m_for_running_work = false; ///< A running request waits for it.
-    std::uint32_t m_priority = 0;    ///< 0 is the most urgent.
+    std::uint32_t m_priority = 0; ///< 0 is the most urgent.
     time_point m_objective{}; ///< An answer later than this is worth little.
     time_point m_deadline{};  ///< An answer later than this is worth nothing.
     duration m_work{};        ///< Usual time at the target.
@@ -33,8 +33,10 @@
 {
 };
 
+/// Where the queue was full, a less urgent request has lost its place.
 struct wait_in_queue
 {
+    std::optional<std::uint64_t> m_displaced;
 };
 
 struct refuse_request
@@ -47,10 +49,14 @@
 
 /// Requests in flight at one target and those that wait for a slot.
 ///
-/// Answers a burst above what the target bears: what can't be answered by its
-/// deadline is refused on arrival, calls of running work go first since what
-/// they hold up is paid already, then priority, then the earlier objective.
-/// Not thread-safe.
+/// Answers a burst above what the target bears, and targets that go one after
+/// the other until few are left. Requests of the least urgent kind that can't
+/// be answered within their objective are refused on arrival, so that the work
+/// done is work in time; more urgent ones only when they can't be answered by
+/// their deadline. Urgent requests go first, displace others from a full queue
+/// and keep as many slots free as they have needed lately, so that they don't
+/// wait for long work of little urgency. What has become late while it waited
+/// gets slots that nothing else needs. Not thread-safe.
 class admission_queue
 {
 public:
@@ -60,8 +66,8 @@
     /// Sets how many requests run at once.
     void set_slots(std::uint32_t slots) noexcept;
 
-    /// Sets the time that work takes now, in percent of the usual.
-    void set_slowness(std::uint32_t percent) noexcept;
+    /// Sets how fast the target works.
+    void set_speed(routing::speed const& forecast) noexcept;
 
     [[nodiscard]] admission_decision enter(
         admission_request const& request, time_point now);
@@ -79,8 +85,8 @@
     /// Removes all waiting requests.
     [[nodiscard]] std::vector<std::uint64_t> take_all();
 
-    /// A running request has ended.
-    void end() noexcept;
+    /// A running request of this usual work and priority has ended.
+    void end(duration work, std::uint32_t priority, time_point now) noexcept;
 
     [[nodiscard]] std::uint32_t running() const noexcept;
     [[nodiscard]] std::uint32_t waiting() const noexcept;
@@ -89,7 +95,6 @@
 private:
     struct place
     {
-        bool m_for_new_work = true;
         std::uint32_t m_priority = 0;
         time_point m_objective{};
         std::uint64_t m_id = 0;
@@ -99,12 +104,23 @@
         friend auto operator<=>(place const&, place const&) = default;
     };
 
-    [[nodiscard]] duration work_time(duration usual) const noexcept;
+    [[nodiscard]] bool is_urgent(place const& waiting) const noexcept;
+    [[nodiscard]] bool has_slot(place const& waiting) const noexcept;
+    [[nodiscard]] std::uint32_t kept_slots() const noexcept;
+    void track_need(time_point now) noexcept;
     [[nodiscard]] duration wait_before(place const& mine) const;
+    [[nodiscard]] bool is_in_time(
+        place const& waiting, duration wait, time_point now) const;
+    void begin(place const& waiting);
 
     std::uint32_t m_slots = 1;
-    std::uint32_t m_slowness = 100;
+    routing::speed m_speed;
     std::uint32_t m_running = 0;
+    duration m_running_work{};          ///< Usual work of what runs.
+    std::uint32_t m_least_urgent = 0;   ///< Greatest priority number seen.
+    std::uint32_t m_urgent_running = 0; ///< Of what runs.
+    double m_urgent_need = 0; ///< Urgent requests at the target lately.
+    time_point m_tracked_at{};
     std::set<place> m_queue;
 };
 
--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <hibiscustide/core/routing/speed.hpp>
 #include <hibiscustide/core/time.hpp>
 
 namespace hibiscustide::core::admission
@@ -70,14 +71,14 @@
     /// Recent failures among requests, 0 to 1.
     [[nodiscard]] double failure_share(time_point now) const noexcept;
 
-    [[nodiscard]] std::uint32_t slowness() const noexcept;
+    [[nodiscard]] routing::speed speed(time_point now) const noexcept;
 
     /// The instance that answered the last probe; empty before.
     [[nodiscard]] std::string const& instance() const noexcept;
 
 private:
     std::string m_instance;
-    std::uint32_t m_slowness = 100;
+    routing::speed_history m_speeds;
     time_point m_started_at;
     time_point m_failed_at{};
     time_point m_cold_until{};
--- a/src/include/hibiscustide/core/retry/repeat.hpp
+++ b/src/include/hibiscustide/core/retry/repeat.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 
+#include <hibiscustide/core/routing/speed.hpp>
 #include <hibiscustide/core/time.hpp>
 
 namespace hibiscustide::core::retry
@@ -32,15 +33,18 @@
 /// What is known of a running request and of the best other target.
 struct repeat_question
 {
-    double m_done = 0;              ///< See progress::done.
-    std::uint32_t m_slowness = 100; ///< Of its target now, in percent.
-    bool m_unreachable = false;     ///< Its target can't be reached now.
-    double m_other_cost = 1;        ///< Expected at the other, in usual works.
+    double m_done = 0;       ///< See progress::done.
+    routing::speed m_speed;  ///< Of its target.
+    double m_other_cost = 1; ///< Expected at the other, in usual works.
     duration m_usual_work{};
     duration m_objective_left{}; ///< Until the answer is late.
     duration m_deadline_left{};  ///< Until nobody waits.
 };
 
+/// Whether a target of this expected cost, in usual works, can still answer.
+[[nodiscard]] bool can_answer_in_time(
+    double cost, duration usual_work, duration deadline_left) noexcept;
+
 /// Whether a second attempt is expected to bring the answer earlier by enough
 /// to matter: the first would miss its objective and the second would not, or
 /// the first seems lost.
--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 
+#include <hibiscustide/core/routing/speed.hpp>
 #include <hibiscustide/core/time.hpp>
 
 namespace hibiscustide::core::routing
@@ -20,9 +21,9 @@
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
     std::uint32_t m_slots = 1;
-    std::uint32_t m_slowness = 100; ///< Work time now, in percent of the usual.
-    std::uint32_t m_failing = 0;    ///< Percent of recent requests that failed.
-    std::uint32_t m_cold_left = 0;  ///< Requests a cold target still bears now.
+    speed m_speed;
+    std::uint32_t m_failing = 0;   ///< Percent of recent requests that failed.
+    std::uint32_t m_cold_left = 0; ///< Requests a cold target still bears now.
     bool m_cold = false;
     bool m_open = true; ///< Whether the target takes new requests at all.
 
@@ -83,8 +84,10 @@
 /// The price of leaving the failure domain, in usual work times.
 inline constexpr double distance_cost = 0.5;
 
-/// Expected time to completion in usual work times.
-[[nodiscard]] double expected_cost(placement_candidate const& candidate);
+/// Expected time to completion of work that usually takes `usual_work`, in
+/// usual work times.
+[[nodiscard]] double expected_cost(
+    placement_candidate const& candidate, duration usual_work);
 
 /// The position of the candidate with the least expected cost; targets that
 /// are left out only where no other is there. Nothing where all are excluded.
@@ -94,8 +97,8 @@
 /// Answers a neighbour's noise: a quarter of the targets work up to seven
 /// times as long for half a second, and others the next half second.
 [[nodiscard]] std::optional<std::size_t> place(
-    std::span<placement_candidate const> candidates, std::size_t tie,
-    time_point now);
+    std::span<placement_candidate const> candidates, duration usual_work,
+    std::size_t tie, time_point now);
 
 } // namespace hibiscustide::core::routing
 
--- a/src/libhibiscustide/core/admission/target_health.cpp
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -30,7 +30,7 @@
     }
     m_answered_at = now;
     m_refused = false;
-    m_slowness = answer.m_slowness;
+    m_speeds.on_report(answer.m_slowness, now);
     m_cold_until = now + answer.m_warm_up_left;
     bool const cold = answer.m_warm_up_left.count() > 0;
     return cold && (!was_cold || is_new);
@@ -75,9 +75,9 @@
     return m_failures * std::exp2(-passed.count() / half.count());
 }
 
-std::uint32_t target_health::slowness() const noexcept
+routing::speed target_health::speed(time_point now) const noexcept
 {
-    return m_slowness;
+    return m_speeds.forecast(now);
 }
 
 std::string const& target_health::instance() const noexcept
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -89,13 +89,16 @@
     return std::max<double>(reported, m_in_flight);
 }
 
-double expected_cost(placement_candidate const& candidate)
+double expected_cost(placement_candidate const& candidate, duration usual_work)
 {
     auto const& view = *candidate.m_view;
     auto const& report = view.report();
     double const slots = std::max<std::uint32_t>(report.m_slots, 1);
-    double const slowness =
-        std::max<std::uint32_t>(report.m_slowness, 50) / 100.0;
+    std::chrono::duration<double> const usual =
+        std::max<duration>(usual_work, std::chrono::milliseconds{1});
+    std::chrono::duration<double> const expected =
+        expected_time(report.m_speed, usual_work);
+    double const slowness = expected / usual;
     double const load = view.load();
     double const beyond = std::max(0.0, load + 1 - slots) / slots;
     double cost = slowness * (1.0 + crowding * load / slots + beyond);
@@ -108,8 +111,8 @@
 }
 
 std::optional<std::size_t> place(
-    std::span<placement_candidate const> candidates, std::size_t tie,
-    time_point now)
+    std::span<placement_candidate const> candidates, duration usual_work,
+    std::size_t tie, time_point now)
 {
     // Targets that are left out or say that they take nothing come behind the
     // others, whatever they would cost.
@@ -127,7 +130,7 @@
         auto const& report = candidate.m_view->report();
         bool const takes_work =
             report.m_open && (!report.m_cold || report.m_cold_left > 0);
-        double cost = expected_cost(candidate);
+        double cost = expected_cost(candidate, usual_work);
         cost += candidate.m_view->is_left_out(now) ? behind : 0.0;
         cost += takes_work ? 0.0 : behind;
         if (cost < least)
--- a/src/libhibiscustide/core/routing/telling.cpp
+++ b/src/libhibiscustide/core/routing/telling.cpp
@@ -36,8 +36,8 @@
                                report.m_slots != m_told.m_slots;
     bool const room_changed =
         (report.m_cold_left == 0) != (m_told.m_cold_left == 0);
-    double const before = std::max<std::uint32_t>(m_told.m_slowness, 1);
-    double const after = std::max<std::uint32_t>(report.m_slowness, 1);
+    double const before = std::max<std::uint32_t>(m_told.m_speed.m_slowness, 1);
+    double const after = std::max<std::uint32_t>(report.m_speed.m_slowness, 1);
     bool const speed_changed =
         std::max(before / after, after / before) >= m_options.m_slowness_ratio;
     double const load = report.m_running + report.m_waiting;
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -104,7 +104,7 @@
         if (!each.m_ended)
         {
             each.m_progress.advance(
-                each.m_node->m_view.report().m_slowness, now);
+                each.m_node->m_view.report().m_speed.m_slowness, now);
         }
     }
     if (m_place_again_at && now >= *m_place_again_at)
@@ -192,7 +192,7 @@
     }
     auto const now = clock_now();
     auto& node = *ended.m_node;
-    ended.m_progress.advance(node.m_view.report().m_slowness, now);
+    ended.m_progress.advance(node.m_view.report().m_speed.m_slowness, now);
     m_reached += result.m_reached_target ? 1 : 0;
     if (result.m_outcome == outcome::answered)
     {
@@ -253,8 +253,12 @@
         {{"request", m_options.m_request.m_attempt},
          {"reason", core::to_string(result.m_reason)},
          {"status", static_cast<std::int64_t>(result.m_status)}});
-    bool const again = may_repeat() && choose(clock_now()) &&
-                       m_options.m_budget->spend(clock_now());
+    auto const now = clock_now();
+    bool const in_time = core::retry::can_answer_in_time(
+        best_other_cost(now), m_options.m_usual_work,
+        m_options.m_deadline - now);
+    bool const again =
+        may_repeat() && in_time && m_options.m_budget->spend(now);
     m_last_failure = std::move(result);
     if (again)
     {
@@ -281,8 +285,7 @@
         });
     core::retry::repeat_question const question{
         .m_done = it->m_progress.done(),
-        .m_slowness = it->m_node->m_view.report().m_slowness,
-        .m_unreachable = false,
+        .m_speed = it->m_node->m_view.report().m_speed,
         .m_other_cost = best_other_cost(now),
         .m_usual_work = m_options.m_usual_work,
         .m_objective_left = m_options.m_objective - now,
@@ -297,7 +300,7 @@
         {{"request", m_options.m_request.m_attempt},
          {"slow_node", it->m_node->m_address},
          {"done", question.m_done},
-         {"slowness", static_cast<std::int64_t>(question.m_slowness)},
+         {"slowness", static_cast<std::int64_t>(question.m_speed.m_slowness)},
          {"other_cost", question.m_other_cost}});
     m_environment.m_counts.add(counter::retries);
     m_failed.push_back(it->m_node.get());
@@ -354,7 +357,8 @@
                            contains(m_failed, node.get())});
     }
     auto const tie = static_cast<std::size_t>(m_environment.m_random());
-    auto const position = core::routing::place(candidates, tie, now);
+    auto const position =
+        core::routing::place(candidates, m_options.m_usual_work, tie, now);
     return position ? members[*position] : nullptr;
 }
 
@@ -381,7 +385,8 @@
             least = std::min(
                 least, core::routing::expected_cost(
                            {.m_view = &node->m_view,
-                            .m_same_domain = node->m_same_domain}));
+                            .m_same_domain = node->m_same_domain},
+                           m_options.m_usual_work));
         }
     }
     return least;
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -223,7 +223,6 @@
         on(value.m_work_ms);
         on(value.m_priority);
         on(value.m_idempotent);
-        on(value.m_for_running_work);
         on(value.m_repeated);
     }
     else if constexpr (std::is_same_v<type, run_result>)
@@ -270,7 +269,9 @@
         on(value.m_target.m_running);
         on(value.m_target.m_waiting);
         on(value.m_target.m_slots);
-        on(value.m_target.m_slowness);
+        on(value.m_target.m_speed.m_slowness);
+        on(value.m_target.m_speed.m_mean_slowness);
+        on(value.m_target.m_speed.m_lasts_ms);
         on(value.m_target.m_failing);
         on(value.m_target.m_cold_left);
         on(value.m_target.m_cold);
--- a/src/libhibiscustide/net/mesh/neighbours.cpp
+++ b/src/libhibiscustide/net/mesh/neighbours.cpp
@@ -132,7 +132,7 @@
         value["reads"] = node->m_reads;
         value["heard_ms_ago"] = Json::Int64{age.count()};
         value["load"] = node->m_view.load();
-        value["slowness_percent"] = node->m_view.report().m_slowness;
+        value["slowness_percent"] = node->m_view.report().m_speed.m_slowness;
         value["open"] = node->m_view.report().m_open;
         list.append(value);
     }
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -42,6 +42,11 @@
         milliseconds{1}, std::chrono::duration_cast<milliseconds>(left));
 }
 
+core::duration usual_work(run_request const& request)
+{
+    return milliseconds{request.m_work_ms};
+}
+
 run_result refusal(
     core::reason why, bool reached_target = false,
     core::duration retry_after = {})
@@ -115,14 +120,13 @@
     item->m_objective = now + milliseconds{request.m_objective_ms};
     core::admission::admission_request const entry{
         .m_id = id,
-        .m_for_running_work = request.m_for_running_work,
         .m_priority = request.m_priority,
         .m_objective = item->m_objective,
         .m_deadline = item->m_deadline,
-        .m_work = milliseconds{request.m_work_ms}};
+        .m_work = usual_work(request)};
     item->m_request = std::move(request);
     item->m_done = std::move(done);
-    m_queue.set_slowness(m_health.slowness());
+    m_queue.set_speed(m_health.speed(now));
     bool const is_cold = m_health.is_cold(now);
     if (is_cold && m_cold.left(now) == 0)
     {
@@ -138,7 +142,13 @@
         return id;
     }
     m_work.emplace(id, item);
-    if (std::holds_alternative<core::admission::run_now>(decision))
+    auto const* const waits =
+        std::get_if<core::admission::wait_in_queue>(&decision);
+    if (waits != nullptr && waits->m_displaced)
+    {
+        refuse_waiting(*waits->m_displaced, core::reason::queue_full);
+    }
+    if (waits == nullptr)
     {
         if (is_cold)
         {
@@ -223,7 +233,7 @@
         .m_running = m_queue.running(),
         .m_waiting = m_queue.waiting(),
         .m_slots = m_queue.slots(),
-        .m_slowness = m_health.slowness(),
+        .m_speed = m_health.speed(now),
         .m_failing =
             static_cast<std::uint32_t>(m_health.failure_share(now) * 100),
         .m_cold_left = cold ? m_cold.left(now) : 0,
@@ -245,7 +255,7 @@
     value["running"] = state.m_running;
     value["waiting"] = state.m_waiting;
     value["slots"] = state.m_slots;
-    value["slowness_percent"] = state.m_slowness;
+    value["slowness_percent"] = state.m_speed.m_slowness;
     value["failing_percent"] = state.m_failing;
     value["cold"] = state.m_cold;
     value["connections"] = Json::UInt64{m_pool.open()};
@@ -347,7 +357,7 @@
     m_work.erase(item->m_ticket);
     if (item->m_running)
     {
-        m_queue.end();
+        end_slot(*item);
     }
     if (!item->m_cancelled)
     {
@@ -360,6 +370,12 @@
     }
 }
 
+void target_gate::end_slot(work const& item)
+{
+    m_queue.end(
+        usual_work(item.m_request), item.m_request.m_priority, clock_now());
+}
+
 void target_gate::refuse_waiting(ticket which, core::reason why)
 {
     auto const it = m_work.find(which);
@@ -391,14 +407,14 @@
         auto const it = m_work.find(*id);
         if (it == m_work.end())
         {
-            m_queue.end();
+            m_queue.end({}, 0, now);
             continue;
         }
         auto const item = it->second;
         auto const why = closed_for(item->m_request);
         if (why)
         {
-            m_queue.end();
+            end_slot(*item);
             refuse_waiting(*id, *why);
             continue;
         }
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -21,6 +21,12 @@
 // Requests of one connection that are under way at once.
 constexpr std::size_t max_pipelined = 64;
 
+// What a node uses of its share of second attempts: calls that a repeated
+// request makes count too, and a node that starts anew has forgotten what it
+// spent.
+constexpr double used_retry_share = 0.85;
+constexpr double used_slack_share = 0.5;
+
 // A peer that was asked for changes has this long before another is.
 constexpr milliseconds ask_interval{150};
 
@@ -57,9 +63,9 @@
           m_context,
           {.m_service = settings.m_service,
            .m_budget =
-               {.m_ratio = settings.m_retry_ratio,
+               {.m_ratio = settings.m_retry_ratio * used_retry_share,
                 .m_window = settings.m_retry_window,
-                .m_slack = settings.m_retry_slack}},
+                .m_slack = settings.m_retry_slack * used_slack_share}},
           wire,
           m_nodes,
           m_gate,
