--- /dev/null
+++ b/src/libhibiscustide/core/admission/admission_queue_test.cpp
@@ -0,0 +1,222 @@
+#include <hibiscustide/core/admission/admission_queue.hpp>
+
+#include <map>
+#include <random>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace admission = hibiscustide::core::admission;
+using hibiscustide::core::duration;
+using hibiscustide::core::reason;
+using hibiscustide::core::time_point;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{1h};
+
+admission::admission_request make_request(
+    std::uint64_t id, std::uint32_t priority = 2, duration objective = 500ms,
+    duration deadline = 2s, duration work = 100ms, time_point now = start)
+{
+    return {
+        .m_id = id,
+        .m_priority = priority,
+        .m_objective = now + objective,
+        .m_deadline = now + deadline,
+        .m_work = work};
+}
+
+bool runs(admission::admission_decision const& decision)
+{
+    return std::holds_alternative<admission::run_now>(decision);
+}
+
+bool waits(admission::admission_decision const& decision)
+{
+    return std::holds_alternative<admission::wait_in_queue>(decision);
+}
+
+bool is_refused(admission::admission_decision const& decision)
+{
+    return std::holds_alternative<admission::refuse_request>(decision);
+}
+
+} // namespace
+
+TEST_CASE("requests run up to the slots and then wait")
+{
+    admission::admission_queue queue;
+    queue.set_slots(2);
+    CHECK(runs(queue.enter(make_request(1), start)));
+    CHECK(runs(queue.enter(make_request(2), start)));
+    CHECK(waits(queue.enter(make_request(3), start)));
+    CHECK_FALSE(queue.next(start).has_value());
+    queue.end(100ms, 2, start);
+    CHECK(queue.next(start) == 3);
+    CHECK(queue.running() == 2);
+    CHECK(queue.waiting() == 0);
+}
+
+TEST_CASE("what is over is refused")
+{
+    admission::admission_queue queue;
+    auto const decision =
+        queue.enter(make_request(1, 2, 1ms, 1ms), start + 2ms);
+    REQUIRE(is_refused(decision));
+    CHECK(
+        std::get<admission::refuse_request>(decision).m_reason ==
+        reason::deadline_passed);
+}
+
+TEST_CASE("the least urgent kind is refused when it would be late")
+{
+    admission::admission_queue queue;
+    queue.set_slots(1);
+    CHECK(runs(queue.enter(make_request(1), start)));
+    CHECK(is_refused(queue.enter(make_request(2, 2, 150ms), start)));
+    // A more urgent kind is worth its answer up to the deadline.
+    CHECK(waits(queue.enter(make_request(3, 1, 150ms), start)));
+    CHECK(is_refused(queue.enter(make_request(4, 1, 150ms, 160ms), start)));
+}
+
+TEST_CASE("urgent requests go first, then the earlier objective")
+{
+    admission::admission_queue queue;
+    queue.set_slots(1);
+    CHECK(runs(queue.enter(make_request(1, 2, 5s, 9s), start)));
+    CHECK(waits(queue.enter(make_request(2, 2, 5s, 9s), start)));
+    CHECK(waits(queue.enter(make_request(3, 2, 4s, 9s), start)));
+    std::vector<std::uint64_t> order;
+    for (int n = 0; n < 2; ++n)
+    {
+        queue.end(100ms, 2, start);
+        order.push_back(queue.next(start).value_or(0));
+    }
+    CHECK(order == std::vector<std::uint64_t>{3, 2});
+}
+
+TEST_CASE("an urgent request displaces another one from a full queue")
+{
+    admission::admission_queue queue;
+    queue.set_slots(1);
+    CHECK(runs(queue.enter(make_request(1, 2, 5s, 9s), start)));
+    CHECK(waits(queue.enter(make_request(2, 2, 5s, 9s), start)));
+    CHECK(waits(queue.enter(make_request(3, 2, 6s, 9s), start)));
+    CHECK(is_refused(queue.enter(make_request(4, 2, 6s, 9s), start)));
+    auto const decision = queue.enter(make_request(5, 0), start);
+    REQUIRE(waits(decision));
+    CHECK(std::get<admission::wait_in_queue>(decision).m_displaced == 3);
+}
+
+TEST_CASE("what waits too long for its deadline is given back")
+{
+    admission::admission_queue queue;
+    queue.set_slots(1);
+    CHECK(runs(queue.enter(make_request(1), start)));
+    CHECK(waits(queue.enter(make_request(2), start)));
+    CHECK(queue.take_hopeless(start + 1s).empty());
+    CHECK(
+        queue.take_hopeless(start + 1'950ms) == std::vector<std::uint64_t>{2});
+    CHECK(queue.waiting() == 0);
+    CHECK_FALSE(queue.remove(2));
+}
+
+namespace
+{
+
+struct replay_result
+{
+    double m_urgent_in_time = 0;
+    double m_all_answered_in_time = 0;
+};
+
+struct replayed
+{
+    admission::admission_request m_request;
+    bool m_urgent = false;
+};
+
+// One target of 18 slots gets twice the work that it bears for ten seconds:
+// short urgent calls, and long lookups that hold slots for half a second.
+replay_result replay_overload()
+{
+    std::mt19937_64 random{5};
+    std::exponential_distribution<double> urgent_gap{60.0};
+    std::exponential_distribution<double> lookup_gap{55.0};
+    auto const after = [&random](std::exponential_distribution<double>& gap)
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>{gap(random)});
+    };
+    admission::admission_queue queue;
+    queue.set_slots(18);
+    std::map<std::uint64_t, replayed> known;
+    std::multimap<time_point, std::uint64_t> ends;
+    auto next_urgent = start;
+    auto next_lookup = start;
+    std::uint64_t id = 0;
+    int urgent = 0;
+    int urgent_in_time = 0;
+    int answered = 0;
+    int in_time = 0;
+    auto const begin = [&](std::uint64_t which, time_point now)
+    {
+        ends.emplace(now + known.at(which).m_request.m_work, which);
+    };
+    auto const enter = [&](bool is_urgent, time_point now)
+    {
+        auto const request =
+            is_urgent ? make_request(++id, 1, 150ms, 600ms, 55ms, now)
+                      : make_request(++id, 2, 1'500ms, 3s, 550ms, now);
+        known.emplace(id, replayed{request, is_urgent});
+        urgent += is_urgent ? 1 : 0;
+        if (runs(queue.enter(request, now)))
+        {
+            begin(request.m_id, now);
+        }
+    };
+    // Arrivals end first, so that each has the time to be answered.
+    for (auto now = start; now < start + 14s; now += 1ms)
+    {
+        while (!ends.empty() && ends.begin()->first <= now)
+        {
+            auto const& ended = known.at(ends.begin()->second);
+            ends.erase(ends.begin());
+            queue.end(ended.m_request.m_work, ended.m_request.m_priority, now);
+            bool const good = now <= ended.m_request.m_objective;
+            ++answered;
+            in_time += good ? 1 : 0;
+            urgent_in_time += good && ended.m_urgent ? 1 : 0;
+        }
+        while (auto const which = queue.next(now))
+        {
+            begin(*which, now);
+        }
+        static_cast<void>(queue.take_hopeless(now));
+        bool const arrive = now < start + 10s;
+        for (; arrive && next_urgent <= now; next_urgent += after(urgent_gap))
+        {
+            enter(true, now);
+        }
+        for (; arrive && next_lookup <= now; next_lookup += after(lookup_gap))
+        {
+            enter(false, now);
+        }
+    }
+    return {
+        .m_urgent_in_time = static_cast<double>(urgent_in_time) / urgent,
+        .m_all_answered_in_time = static_cast<double>(in_time) / answered};
+}
+
+} // namespace
+
+TEST_CASE("replay of an overload: urgent calls are answered in time, and what "
+          "is answered is answered in time")
+{
+    auto const result = replay_overload();
+    CHECK(result.m_urgent_in_time > 0.95);
+    CHECK(result.m_all_answered_in_time > 0.9);
+}
--- /dev/null
+++ b/src/libhibiscustide/core/admission/target_health_test.cpp
@@ -0,0 +1,72 @@
+#include <hibiscustide/core/admission/target_health.hpp>
+
+#include <doctest/doctest.h>
+
+namespace admission = hibiscustide::core::admission;
+using admission::target_health;
+using admission::target_outcome;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+hibiscustide::core::time_point const start{1h};
+
+} // namespace
+
+TEST_CASE("a target is up once it was probed, or after some patience")
+{
+    target_health health{start};
+    CHECK_FALSE(health.is_up(start));
+    CHECK(health.is_up(start + target_health::probe_patience + 1ms));
+    health.on_probe({.m_instance = "i-1"}, start + 10ms);
+    CHECK(health.is_up(start + 10ms));
+}
+
+TEST_CASE("a refused connection takes a target out, a probe brings it back")
+{
+    target_health health{start};
+    health.on_probe({.m_instance = "i-1"}, start);
+    health.on_connect_failed(start + 1ms);
+    CHECK_FALSE(health.is_up(start + 1ms));
+    health.on_probe({.m_instance = "i-2"}, start + 40ms);
+    CHECK(health.is_up(start + 40ms));
+    CHECK(health.instance() == "i-2");
+}
+
+TEST_CASE("a health endpoint that says ill does not take a target out")
+{
+    target_health health{start};
+    health.on_probe({.m_healthy = false, .m_instance = "i-1"}, start);
+    CHECK(health.is_up(start));
+}
+
+TEST_CASE("turning cold is told once, and by each new instance")
+{
+    target_health health{start};
+    CHECK_FALSE(health.on_probe({.m_instance = "i-1"}, start));
+    CHECK(health.on_probe(
+        {.m_instance = "i-1", .m_warm_up_left = 3s}, start + 40ms));
+    CHECK_FALSE(health.on_probe(
+        {.m_instance = "i-1", .m_warm_up_left = 2'960ms}, start + 80ms));
+    CHECK(health.is_cold(start + 80ms));
+    CHECK(health.on_probe(
+        {.m_instance = "i-2", .m_warm_up_left = 3s}, start + 120ms));
+    health.on_probe({.m_instance = "i-2"}, start + 160ms);
+    CHECK_FALSE(health.is_cold(start + 160ms));
+}
+
+TEST_CASE("replay of a grey target: failures show while its health is good")
+{
+    target_health health{start};
+    auto now = start;
+    for (int n = 0; n < 40; ++n, now += 25ms)
+    {
+        health.on_probe({.m_healthy = true, .m_instance = "i-1"}, now);
+        health.on_outcome(
+            n % 2 == 0 ? target_outcome::failed : target_outcome::answered,
+            now);
+    }
+    CHECK(health.failure_share(now) > 0.3);
+    CHECK(health.failure_share(now + 10s) < 0.05);
+}
--- /dev/null
+++ b/src/libhibiscustide/core/directory/directory_test.cpp
@@ -0,0 +1,99 @@
+#include <hibiscustide/core/directory/directory.hpp>
+
+#include <doctest/doctest.h>
+
+namespace directory = hibiscustide::core::directory;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+hibiscustide::core::time_point const start{1h};
+
+directory::target make_target(char const* instance, std::uint16_t port = 80)
+{
+    return {
+        .m_instance = instance,
+        .m_service = "lookup",
+        .m_address = {.m_address = "10.0.0.1", .m_port = port},
+        .m_failure_domain = "a",
+        .m_slots = 4};
+}
+
+} // namespace
+
+TEST_CASE("a configuration never goes back")
+{
+    directory::directory_state state;
+    CHECK(state.put(directory::configuration{.m_version = 7}));
+    CHECK_FALSE(state.put(directory::configuration{.m_version = 6}));
+    CHECK_FALSE(state.put(directory::configuration{.m_version = 7}));
+    CHECK(state.version() == 7);
+    CHECK(state.put(directory::configuration{.m_version = 12}));
+    CHECK(state.view()->config().m_version == 12);
+}
+
+TEST_CASE("a target whose entry lapses stays for a while")
+{
+    directory::directory_state state;
+    state.put(make_target("i-1"));
+    state.remove("i-1", start);
+    CHECK(state.expire(start + 100ms).has_value());
+    CHECK(state.view()->find("i-1") != nullptr);
+    CHECK_FALSE(state.expire(start + directory::directory_state::removal_grace)
+                    .has_value());
+    CHECK(state.view()->find("i-1") == nullptr);
+}
+
+TEST_CASE("a target that said it drains goes at once")
+{
+    directory::directory_state state;
+    auto target = make_target("i-1");
+    target.m_draining = true;
+    state.put(target);
+    CHECK_FALSE(state.view()->is_in_service(target));
+    state.remove("i-1", start);
+    CHECK(state.view()->find("i-1") == nullptr);
+}
+
+TEST_CASE("entries that were missing when the service came back have longer")
+{
+    directory::directory_state state;
+    state.put(make_target("i-1"));
+    state.put(make_target("i-2"));
+    state.service_returned(start);
+    state.remove("i-1", start + 10ms);
+    state.remove("i-2", start + 10ms);
+    state.expire(start + 1'500ms);
+    CHECK(state.view()->find("i-1") != nullptr);
+    state.put(make_target("i-1"));
+    state.expire(start + 10s);
+    CHECK(state.view()->find("i-1") != nullptr);
+    CHECK(state.view()->find("i-2") == nullptr);
+}
+
+TEST_CASE("a withdrawn failure domain gets nothing until it is restored")
+{
+    directory::directory_state state;
+    auto const target = make_target("i-1");
+    state.put(target);
+    state.withdraw("a");
+    CHECK_FALSE(state.view()->is_in_service(target));
+    state.restore("a");
+    CHECK(state.view()->is_in_service(target));
+}
+
+TEST_CASE("of several targets at one address the youngest counts")
+{
+    directory::directory_state state;
+    auto older = make_target("i-9");
+    older.m_born_ms = 100;
+    auto younger = make_target("i-1");
+    younger.m_born_ms = 200;
+    state.put(older);
+    state.put(younger);
+    auto const view = state.view();
+    REQUIRE(view->find_at(older.m_address) != nullptr);
+    CHECK(view->find_at(older.m_address)->m_instance == "i-1");
+    CHECK(view->find_at({.m_address = "10.0.0.9", .m_port = 80}) == nullptr);
+}
--- /dev/null
+++ b/src/libhibiscustide/core/retry/repeat_test.cpp
@@ -0,0 +1,72 @@
+#include <hibiscustide/core/retry/repeat.hpp>
+
+#include <doctest/doctest.h>
+
+namespace retry = hibiscustide::core::retry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+hibiscustide::core::time_point const start{1h};
+
+retry::repeat_question make_question()
+{
+    return {
+        .m_done = 0.2,
+        .m_speed =
+            {.m_slowness = 700, .m_mean_slowness = 700, .m_lasts_ms = 500},
+        .m_other_cost = 1.2,
+        .m_usual_work = 200ms,
+        .m_objective_left = 500ms,
+        .m_deadline_left = 2s};
+}
+
+} // namespace
+
+TEST_CASE("a request that turned slow is repeated where that saves it")
+{
+    CHECK(retry::is_worth_repeating(make_question()));
+}
+
+TEST_CASE("a request that will be in time is not repeated")
+{
+    auto question = make_question();
+    question.m_speed = {};
+    CHECK_FALSE(retry::is_worth_repeating(question));
+}
+
+TEST_CASE("a request that can't be saved is not repeated")
+{
+    auto question = make_question();
+    question.m_other_cost = 4;
+    CHECK_FALSE(retry::is_worth_repeating(question));
+    question = make_question();
+    question.m_deadline_left = 50ms;
+    CHECK_FALSE(retry::is_worth_repeating(question));
+}
+
+TEST_CASE("an answer that is long overdue is taken for lost")
+{
+    auto question = make_question();
+    question.m_done = 3;
+    question.m_objective_left = -100ms;
+    CHECK(retry::is_worth_repeating(question));
+    question.m_deadline_left = 10ms;
+    CHECK_FALSE(retry::is_worth_repeating(question));
+}
+
+TEST_CASE("what ended at its deadline has no time for another attempt")
+{
+    CHECK_FALSE(retry::can_answer_in_time(1.0, 200ms, 2ms));
+    CHECK(retry::can_answer_in_time(1.0, 200ms, 150ms));
+}
+
+TEST_CASE("progress follows the speed while the request runs")
+{
+    retry::progress progress{200ms, start};
+    progress.advance(100, start + 100ms);
+    CHECK(progress.done() == doctest::Approx(0.5));
+    progress.advance(700, start + 240ms);
+    CHECK(progress.done() == doctest::Approx(0.6));
+}
--- /dev/null
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -0,0 +1,209 @@
+#include <hibiscustide/core/routing/placement.hpp>
+
+#include <array>
+#include <random>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace routing = hibiscustide::core::routing;
+using hibiscustide::core::time_point;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{1h};
+
+routing::target_report make_report(
+    std::uint32_t running, std::uint32_t slowness = 100)
+{
+    return {
+        .m_running = running,
+        .m_slots = 10,
+        .m_speed = {
+            .m_slowness = slowness, .m_mean_slowness = 150, .m_lasts_ms = 500}};
+}
+
+routing::target_view make_view(routing::target_report const& report)
+{
+    routing::target_view view;
+    view.on_report(report, 1, start);
+    return view;
+}
+
+std::optional<std::size_t> choose(
+    std::vector<routing::placement_candidate> const& candidates,
+    std::size_t tie = 0, time_point now = start)
+{
+    return routing::place(candidates, 100ms, tie, now);
+}
+
+} // namespace
+
+TEST_CASE("a fast target goes before a slow one, a free one before a full one")
+{
+    auto const slow = make_view(make_report(0, 700));
+    auto const fast = make_view(make_report(3));
+    auto const full = make_view(make_report(12));
+    CHECK(
+        choose({{.m_view = &slow}, {.m_view = &fast}, {.m_view = &full}}) == 1);
+}
+
+TEST_CASE("the own failure domain breaks what is near a tie, and no more")
+{
+    auto const here = make_view(make_report(3));
+    auto const there = make_view(make_report(1));
+    CHECK(
+        choose(
+            {{.m_view = &there}, {.m_view = &here, .m_same_domain = true}}) ==
+        1);
+    auto const slow = make_view(make_report(3, 700));
+    CHECK(
+        choose(
+            {{.m_view = &there}, {.m_view = &slow, .m_same_domain = true}}) ==
+        0);
+}
+
+TEST_CASE("own requests count until a newer report comes")
+{
+    auto first = make_view(make_report(0));
+    auto const second = make_view(make_report(1));
+    std::vector<routing::placement_candidate> const both{
+        {.m_view = &first}, {.m_view = &second}};
+    CHECK(choose(both) == 0);
+    first.on_sent();
+    first.on_sent();
+    CHECK(choose(both) == 1);
+    first.on_ended();
+    first.on_ended();
+    first.on_report(make_report(0), 2, start + 10ms);
+    CHECK(choose(both) == 0);
+    first.on_report(make_report(9), 1, start + 20ms);
+    CHECK(choose(both) == 0);
+}
+
+TEST_CASE("closed, failing and left-out targets come behind the others")
+{
+    auto closed_report = make_report(0);
+    closed_report.m_open = false;
+    auto const closed = make_view(closed_report);
+    auto failing_report = make_report(0);
+    failing_report.m_failing = 50;
+    auto const failing = make_view(failing_report);
+    auto cold_report = make_report(0);
+    cold_report.m_cold = true;
+    auto const cold = make_view(cold_report);
+    auto const busy = make_view(make_report(9));
+    CHECK(
+        choose(
+            {{.m_view = &closed},
+             {.m_view = &failing},
+             {.m_view = &cold},
+             {.m_view = &busy}}) == 3);
+    auto left_out = make_view(make_report(0));
+    left_out.on_failed(start);
+    CHECK(choose({{.m_view = &left_out}, {.m_view = &busy}}) == 1);
+    CHECK(
+        choose({{.m_view = &left_out}, {.m_view = &busy}}, 0, start + 3s) == 0);
+    CHECK(choose({{.m_view = &closed}}) == 0);
+    CHECK_FALSE(choose({{.m_view = &closed, .m_excluded = true}}).has_value());
+}
+
+TEST_CASE("equal targets are chosen in turn by the tie")
+{
+    auto const one = make_view(make_report(0));
+    auto const other = make_view(make_report(0));
+    std::vector<routing::placement_candidate> const both{
+        {.m_view = &one}, {.m_view = &other}};
+    CHECK(choose(both, 0) == 0);
+    CHECK(choose(both, 1) == 1);
+}
+
+// Five targets, one request every 20 ms, work of 100 ms. Every half second a
+// quarter of the targets turns seven times as slow. Gives the share of requests
+// that finish within three usual work times.
+static double share_in_time(bool by_speed)
+{
+    constexpr std::size_t targets = 5;
+    constexpr int step_ms = 5;
+    constexpr int steps = 24'000;
+    std::mt19937_64 random{11};
+    std::bernoulli_distribution is_slow{0.25};
+    std::array<double, targets> slowness{};
+    std::array<routing::speed_history, targets> history;
+    std::array<routing::target_view, targets> views;
+    std::array<std::uint64_t, targets> sequences{};
+    struct running
+    {
+        std::size_t m_target;
+        double m_left_ms;
+        int m_age_ms;
+    };
+    std::vector<running> requests;
+    int done = 0;
+    int in_time = 0;
+    auto now = start;
+    for (int n = 0; n < steps; ++n, now += std::chrono::milliseconds{step_ms})
+    {
+        if (n % (500 / step_ms) == 0)
+        {
+            for (auto& each : slowness)
+            {
+                each = is_slow(random) ? 7.0 : 1.0;
+            }
+        }
+        for (std::size_t t = 0; t < targets && n % 8 == 0; ++t)
+        {
+            history[t].on_report(
+                static_cast<std::uint32_t>(slowness[t] * 100), now);
+            routing::target_report report{.m_slots = 10};
+            for (auto const& each : requests)
+            {
+                report.m_running += each.m_target == t ? 1 : 0;
+            }
+            if (by_speed)
+            {
+                report.m_speed = history[t].forecast(now);
+            }
+            views[t].on_report(report, ++sequences[t], now);
+        }
+        if (n % (20 / step_ms) == 0)
+        {
+            std::vector<routing::placement_candidate> candidates;
+            for (auto const& view : views)
+            {
+                candidates.push_back({.m_view = &view, .m_same_domain = true});
+            }
+            auto const chosen =
+                *routing::place(candidates, 100ms, random(), now);
+            views[chosen].on_sent();
+            requests.push_back({chosen, 100.0, 0});
+        }
+        std::erase_if(
+            requests,
+            [&](running& each)
+            {
+                each.m_left_ms -= step_ms / slowness[each.m_target];
+                each.m_age_ms += step_ms;
+                bool const ended = each.m_left_ms <= 0;
+                if (ended)
+                {
+                    views[each.m_target].on_ended();
+                    ++done;
+                    in_time += each.m_age_ms <= 300 ? 1 : 0;
+                }
+                return ended;
+            });
+    }
+    return static_cast<double>(in_time) / done;
+}
+
+TEST_CASE("replay of a neighbour's noise: speed beats load alone")
+{
+    auto const by_load = share_in_time(false);
+    auto const by_speed = share_in_time(true);
+    MESSAGE("in time by load ", by_load, ", by speed ", by_speed);
+    CHECK(by_speed > by_load + 0.05);
+    CHECK(by_speed > 0.9);
+}
--- /dev/null
+++ b/src/libhibiscustide/core/routing/speed_test.cpp
@@ -0,0 +1,74 @@
+#include <hibiscustide/core/routing/speed.hpp>
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+namespace routing = hibiscustide::core::routing;
+using hibiscustide::core::time_point;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{1h};
+
+double to_ms(hibiscustide::core::duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+} // namespace
+
+TEST_CASE("work that fits into the present speed takes its factor")
+{
+    routing::speed const slow{
+        .m_slowness = 700, .m_mean_slowness = 250, .m_lasts_ms = 400};
+    CHECK(to_ms(expected_time(slow, 50ms)) == doctest::Approx(350));
+}
+
+TEST_CASE("work that outlasts the present speed goes on at the mean")
+{
+    routing::speed const slow{
+        .m_slowness = 700, .m_mean_slowness = 200, .m_lasts_ms = 350};
+    // 350 ms do 50 ms of the work, the other 500 ms take twice as long.
+    CHECK(to_ms(expected_time(slow, 550ms)) == doctest::Approx(1'350));
+}
+
+TEST_CASE("replay of a neighbour's noise: spells and mean are learned")
+{
+    std::mt19937_64 random{7};
+    std::bernoulli_distribution slow{0.25};
+    routing::speed_history history;
+    auto now = start;
+    double slowness_sum = 0;
+    int reports = 0;
+    for (int spell = 0; spell < 120; ++spell)
+    {
+        std::uint32_t const slowness = slow(random) ? 700 : 100;
+        for (int n = 0; n < 12; ++n)
+        {
+            now += 41ms;
+            history.on_report(slowness, now);
+            slowness_sum += slowness;
+            ++reports;
+        }
+    }
+    auto const forecast = history.forecast(now);
+    double const mean = slowness_sum / reports;
+    CHECK(forecast.m_mean_slowness > mean * 0.5);
+    CHECK(forecast.m_mean_slowness < mean * 1.6);
+    history.on_report(forecast.m_slowness > 300 ? 100 : 700, now + 1ms);
+    auto const fresh = history.forecast(now + 1ms);
+    CHECK(fresh.m_lasts_ms > 400);
+    CHECK(fresh.m_lasts_ms < 1'800);
+}
+
+TEST_CASE("small changes continue the spell")
+{
+    routing::speed_history history;
+    history.on_report(100, start);
+    history.on_report(115, start + 100ms);
+    history.on_report(95, start + 200ms);
+    CHECK(history.forecast(start + 200ms).m_slowness == 100);
+}
--- /dev/null
+++ b/src/libhibiscustide/core/routing/telling_test.cpp
@@ -0,0 +1,48 @@
+#include <hibiscustide/core/routing/telling.hpp>
+
+#include <doctest/doctest.h>
+
+namespace routing = hibiscustide::core::routing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+hibiscustide::core::time_point const start{1h};
+
+constexpr routing::telling_options options{
+    .m_slowness_ratio = 1.4,
+    .m_load_share = 0.3,
+    .m_least = 20ms,
+    .m_most = 1'500ms};
+
+routing::target_report make_report(
+    std::uint32_t running, std::uint32_t slowness = 100)
+{
+    return {
+        .m_running = running,
+        .m_slots = 10,
+        .m_speed = {.m_slowness = slowness}};
+}
+
+} // namespace
+
+TEST_CASE("small changes wait for the next regular telling")
+{
+    routing::telling told{options};
+    told.on_told(make_report(1), start);
+    CHECK_FALSE(told.is_due(make_report(2, 120), start + 500ms));
+    CHECK(told.is_due(make_report(2, 120), start + 1'500ms));
+}
+
+TEST_CASE("a change of speed, load or state is told at once")
+{
+    routing::telling told{options};
+    told.on_told(make_report(1), start);
+    CHECK(told.is_due(make_report(1, 700), start + 20ms));
+    CHECK(told.is_due(make_report(5), start + 20ms));
+    auto closed = make_report(1);
+    closed.m_open = false;
+    CHECK(told.is_due(closed, start + 20ms));
+    CHECK_FALSE(told.is_due(closed, start + 10ms));
+}
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/codec_test.cpp
@@ -0,0 +1,101 @@
+#include "net/mesh/codec.hpp"
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+namespace core = hibiscustide::core;
+namespace mesh = hibiscustide::net::mesh;
+
+namespace
+{
+
+std::vector<mesh::message> samples()
+{
+    mesh::run_request request{
+        .m_id = 1ULL << 40U,
+        .m_attempt = "a1",
+        .m_service = "lookup",
+        .m_method = "POST",
+        .m_path = "/x?y",
+        .m_fields = {{.m_name = "Accept", .m_value = "*/*"}},
+        .m_body = std::string("\0\xff", 2),
+        .m_left_ms = 900,
+        .m_objective_ms = -5,
+        .m_idempotent = true};
+    mesh::run_result result{
+        .m_id = 3,
+        .m_outcome = mesh::outcome::answered,
+        .m_reached_target = true,
+        .m_status = 200,
+        .m_body = std::string(70'000, 'x')};
+    core::directory::item_changes changes{
+        .m_after = 2,
+        .m_revision = 9,
+        .m_items = {{.m_key = "k", .m_value = "v", .m_revision = 9}}};
+    return {
+        mesh::hello{.m_node = "10.0.0.1", .m_incarnation = 8},
+        request,
+        result,
+        mesh::cancel_request{.m_id = 4},
+        mesh::resume_requests{.m_ids = {1, 2, 300}},
+        mesh::ping{.m_is_answer = true},
+        mesh::changes_wanted{.m_after = 7},
+        changes};
+}
+
+std::string_view body_of(std::string const& frame)
+{
+    return std::string_view{frame}.substr(mesh::frame_head_bytes);
+}
+
+} // namespace
+
+TEST_CASE("each message is read as it was written")
+{
+    for (auto const& sample : samples())
+    {
+        auto const frame = mesh::encode_frame(sample);
+        CHECK(
+            mesh::frame_length(frame) == frame.size() - mesh::frame_head_bytes);
+        auto const read = mesh::decode_message(body_of(frame));
+        REQUIRE(read.has_value());
+        CHECK(*read == sample);
+    }
+}
+
+TEST_CASE("a status is read as it was written")
+{
+    mesh::node_status const status{
+        .m_incarnation = 5,
+        .m_sequence = 6,
+        .m_revision = 7,
+        .m_reads = true,
+        .m_target = {.m_running = 3, .m_slots = 18, .m_cold = true}};
+    CHECK(mesh::decode_status(mesh::encode_status(status)) == status);
+    CHECK_FALSE(mesh::decode_status("").has_value());
+}
+
+TEST_CASE("malformed bytes are no message and do no harm")
+{
+    std::mt19937 random{3};
+    for (auto const& sample : samples())
+    {
+        std::string const good{body_of(mesh::encode_frame(sample))};
+        if (good.size() > 1'000)
+        {
+            continue;
+        }
+        for (std::size_t cut = 0; cut < good.size(); ++cut)
+        {
+            CHECK_FALSE(mesh::decode_message(good.substr(0, cut)).has_value());
+        }
+        for (int n = 0; n < 2'000; ++n)
+        {
+            auto bad = good;
+            bad[random() % bad.size()] = static_cast<char>(random());
+            static_cast<void>(mesh::decode_message(bad));
+            static_cast<void>(mesh::decode_status(bad));
+        }
+    }
+}
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -73,9 +73,7 @@
     auto const it = m_pending.emplace(id, std::move(added)).first;
     if (m_stream)
     {
-        m_stream->send(it->second.m_message);
-        it->second.m_sent = true;
-        it->second.m_message = ping{};
+        send_now(it->second);
     }
     else
     {
@@ -92,7 +90,7 @@
     {
         return;
     }
-    bool const sent = it->second.m_sent;
+    bool const sent = it->second.is_sent();
     m_pending.erase(it);
     if (sent && m_stream)
     {
@@ -125,7 +123,7 @@
     for (auto const& [id, request] : pending)
     {
         request.m_done(
-            unreachable(request.m_sent, core::reason::peer_unreachable));
+            unreachable(request.is_sent(), core::reason::peer_unreachable));
     }
 }
 
@@ -250,11 +248,12 @@
 // sends what waits.
 void peer_link::greet()
 {
+    ++m_connection;
     m_stream->send(m_options.m_hello);
     resume_requests earlier;
     for (auto const& [id, request] : m_pending)
     {
-        if (request.m_sent)
+        if (request.is_sent())
         {
             earlier.m_ids.push_back(id);
         }
@@ -265,11 +264,9 @@
     }
     for (auto& [id, request] : m_pending)
     {
-        if (!request.m_sent)
+        if (!request.is_sent())
         {
-            m_stream->send(request.m_message);
-            request.m_sent = true;
-            request.m_message = ping{};
+            send_now(request);
         }
     }
     if (std::exchange(m_changes_wanted, false))
@@ -327,7 +324,8 @@
     }
 }
 
-// A gate that has started anew knows nothing of what was sent before.
+// A gate that has started anew knows nothing of what was sent over earlier
+// connections; what went out behind the greeting is with the new one.
 void peer_link::on_hello(hello const& from)
 {
     auto const before = std::exchange(m_incarnation, from.m_incarnation);
@@ -338,7 +336,7 @@
     std::vector<std::uint64_t> lost;
     for (auto const& [id, request] : m_pending)
     {
-        if (request.m_sent)
+        if (request.is_sent() && request.m_sent_over < m_connection)
         {
             lost.push_back(id);
         }
@@ -377,6 +375,12 @@
     done(std::move(result));
 }
 
+void peer_link::send_now(pending_request& request)
+{
+    m_stream->send(std::exchange(request.m_message, ping{}));
+    request.m_sent_over = m_connection;
+}
+
 // Ends requests that have waited long enough for a gate that can't be reached.
 // One that was never sent ends as soon as a connection has failed.
 void peer_link::give_up(core::time_point now, bool connect_failed)
@@ -384,7 +388,7 @@
     std::vector<std::uint64_t> over;
     for (auto const& [id, request] : m_pending)
     {
-        bool const unsent = connect_failed && !request.m_sent;
+        bool const unsent = connect_failed && !request.is_sent();
         if (unsent || now >= request.m_give_up_at)
         {
             over.push_back(id);
@@ -392,7 +396,7 @@
     }
     for (auto const id : over)
     {
-        bool const sent = m_pending.at(id).m_sent;
+        bool const sent = m_pending.at(id).is_sent();
         settle(id, unreachable(sent, core::reason::peer_unreachable));
     }
 }
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -64,7 +64,12 @@
         done_handler m_done;
         core::time_point m_give_up_at; ///< Where the gate can't be reached.
         message m_message;             ///< Kept until it is sent.
-        bool m_sent = false;
+        std::uint64_t m_sent_over = 0; ///< Number of the connection; 0: unsent.
+
+        [[nodiscard]] bool is_sent() const noexcept
+        {
+            return m_sent_over != 0;
+        }
     };
 
     awaitable<void> connect_loop();
@@ -78,6 +83,7 @@
     void on_closed();
     void settle(std::uint64_t id, run_result result);
     void give_up(core::time_point now, bool connect_failed);
+    void send_now(pending_request& request);
 
     asio::io_context& m_context;
     peer_link_options m_options;
@@ -85,6 +91,7 @@
     asio::steady_timer m_watch;
     std::map<std::uint64_t, pending_request> m_pending;
     std::uint64_t m_next_id = 1;
+    std::uint64_t m_connection = 0;  ///< Number of the newest connection.
     std::uint64_t m_incarnation = 0; ///< Of the gate; 0 before its first hello.
     std::uint64_t m_wanted_after = 0;
     bool m_changes_wanted = false;
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -0,0 +1,252 @@
+#include "net/mesh/peer_link.hpp"
+
+#include <optional>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+
+#include "net/socket.hpp"
+
+namespace asio = hibiscustide::net::asio;
+namespace core = hibiscustide::core;
+namespace mesh = hibiscustide::net::mesh;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr char const* address = "127.0.0.1";
+
+// A gate that the test plays by hand.
+class fake_gate
+{
+public:
+    explicit fake_gate(asio::io_context& context)
+        : m_context{context},
+          m_acceptor{context}
+    {
+        REQUIRE_FALSE(hibiscustide::net::open_listener(
+            m_acceptor, {.m_address = address, .m_port = 0}, false));
+        asio::co_spawn(context, accept_loop(), asio::detached);
+    }
+
+    [[nodiscard]] core::endpoint where() const
+    {
+        return {
+            .m_address = address, .m_port = m_acceptor.local_endpoint().port()};
+    }
+
+    // Closes the connection, as a process that ends does.
+    void restart()
+    {
+        ++m_incarnation;
+        if (m_stream)
+        {
+            m_stream->close();
+            m_stream = nullptr;
+        }
+    }
+
+    // Nothing is said over the connections that come from now on.
+    void set_silent(bool silent)
+    {
+        m_silent = silent;
+    }
+
+    void answer(std::uint64_t id)
+    {
+        m_stream->send(mesh::run_result{
+            .m_id = id, .m_outcome = mesh::outcome::answered, .m_status = 200});
+    }
+
+    void refuse(std::uint64_t id)
+    {
+        m_stream->send(mesh::run_result{.m_id = id});
+    }
+
+    std::vector<std::uint64_t> m_runs;
+    std::vector<std::uint64_t> m_asked;
+
+private:
+    asio::awaitable<void> accept_loop()
+    {
+        while (true)
+        {
+            auto [error, socket] = co_await m_acceptor.async_accept(
+                asio::as_tuple(asio::use_awaitable));
+            if (error)
+            {
+                co_return;
+            }
+            m_stream = std::make_shared<mesh::frame_stream>(std::move(socket));
+            m_stream->start(
+                [this, silent = m_silent](mesh::message&& value)
+                {
+                    if (!silent)
+                    {
+                        on_message(value);
+                    }
+                },
+                [] {});
+            if (!m_silent)
+            {
+                mesh::hello const greeting{
+                    .m_node = address, .m_incarnation = m_incarnation};
+                m_stream->send(greeting);
+            }
+        }
+    }
+
+    void on_message(mesh::message const& value)
+    {
+        if (auto const* const run = std::get_if<mesh::run_request>(&value))
+        {
+            m_runs.push_back(run->m_id);
+        }
+        if (auto const* const asked =
+                std::get_if<mesh::resume_requests>(&value))
+        {
+            m_asked = asked->m_ids;
+        }
+        if (std::holds_alternative<mesh::ping>(value))
+        {
+            m_stream->send(mesh::ping{.m_is_answer = true});
+        }
+    }
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<mesh::frame_stream> m_stream;
+    std::uint64_t m_incarnation = 1;
+    bool m_silent = false;
+};
+
+struct fixture
+{
+    std::uint64_t run(bool idempotent, std::int64_t left_ms = 5'000)
+    {
+        mesh::run_request request{
+            .m_left_ms = left_ms, .m_idempotent = idempotent};
+        return m_link->run(
+            request,
+            [this](mesh::run_result result)
+            {
+                m_results.push_back(std::move(result));
+            });
+    }
+
+    void wait(std::chrono::milliseconds span)
+    {
+        m_context.restart();
+        m_context.run_for(span);
+    }
+
+    asio::io_context m_context;
+    fake_gate m_gate{m_context};
+    std::shared_ptr<mesh::peer_link> m_link = std::make_shared<mesh::peer_link>(
+        m_context,
+        mesh::peer_link_options{
+            .m_remote = m_gate.where(),
+            .m_local_address = address,
+            .m_hello = {.m_node = address, .m_incarnation = 77},
+            .m_on_changes = [](auto&&) {}});
+    std::vector<mesh::run_result> m_results;
+};
+
+} // namespace
+
+TEST_CASE("a request goes out once the link is open, its result comes back")
+{
+    fixture test;
+    auto const id = test.run(false);
+    test.wait(50ms);
+    REQUIRE(test.m_gate.m_runs == std::vector{id});
+    test.m_gate.answer(id);
+    test.wait(50ms);
+    REQUIRE(test.m_results.size() == 1);
+    CHECK(test.m_results.front().m_status == 200);
+}
+
+TEST_CASE("a gate that has started anew leaves open what was sent before it, "
+          "and takes what is sent to it")
+{
+    fixture test;
+    test.run(false);
+    test.wait(50ms);
+    test.m_gate.restart();
+    test.wait(5ms);
+    // Sent behind the greeting of the new connection.
+    auto const fresh = test.run(false);
+    test.wait(200ms);
+    REQUIRE(test.m_results.size() == 1);
+    CHECK(test.m_results.front().m_outcome == mesh::outcome::may_have_run);
+    CHECK(test.m_results.front().m_reason == core::reason::gate_restarted);
+    CHECK(test.m_gate.m_runs.back() == fresh);
+    test.m_gate.answer(fresh);
+    test.wait(50ms);
+    REQUIRE(test.m_results.size() == 2);
+    CHECK(test.m_results.back().m_outcome == mesh::outcome::answered);
+}
+
+TEST_CASE("what goes out with the greeting to a gate that has started anew is "
+          "not taken for lost")
+{
+    fixture test;
+    auto const first = test.run(false);
+    test.wait(50ms);
+    test.m_gate.answer(first);
+    test.wait(50ms);
+    test.m_gate.restart();
+    test.wait(50ms);
+    auto const fresh = test.run(false);
+    test.wait(100ms);
+    REQUIRE(test.m_results.size() == 1);
+    CHECK(test.m_gate.m_runs == std::vector{first, fresh});
+    test.m_gate.answer(fresh);
+    test.wait(50ms);
+    REQUIRE(test.m_results.size() == 2);
+    CHECK(test.m_results.back().m_outcome == mesh::outcome::answered);
+}
+
+TEST_CASE("a silent connection is replaced and its requests are asked after")
+{
+    fixture test;
+    test.m_gate.set_silent(true);
+    auto const id = test.run(false);
+    test.wait(500ms);
+    test.m_gate.set_silent(false);
+    test.wait(1'200ms);
+    REQUIRE(test.m_gate.m_asked == std::vector{id});
+    CHECK(test.m_results.empty());
+    test.m_gate.refuse(id);
+    test.wait(50ms);
+    REQUIRE(test.m_results.size() == 1);
+    CHECK(test.m_results.front().m_outcome == mesh::outcome::not_run);
+}
+
+TEST_CASE("what was never sent to a gate that is gone did not run")
+{
+    asio::io_context context;
+    auto const link = std::make_shared<mesh::peer_link>(
+        context,
+        mesh::peer_link_options{
+            .m_remote = {.m_address = address, .m_port = 1},
+            .m_local_address = address,
+            .m_hello = {.m_node = address, .m_incarnation = 77},
+            .m_on_changes = [](auto&&) {}});
+    std::optional<mesh::run_result> end;
+    link->run(
+        {.m_left_ms = 1'000},
+        [&end](mesh::run_result result)
+        {
+            end = std::move(result);
+        });
+    context.run_for(200ms);
+    REQUIRE(end.has_value());
+    CHECK(end->m_outcome == mesh::outcome::not_run);
+    CHECK(end->m_reason == core::reason::peer_unreachable);
+}
