--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <hibiscustide/core/endpoint.hpp>
 #include <hibiscustide/core/error.hpp>
@@ -26,6 +27,7 @@
     std::string m_peer_address;
     std::string m_peer_ports;
     std::string m_publisher;
+    std::string m_seeds;
     std::string m_log_level = "info";
     std::string m_probe_interval_ms = "40";
     std::string m_retry_ratio = "0.2";
@@ -46,6 +48,8 @@
     endpoint m_peer_listen;  ///< The first of the ports between nodes.
     endpoint m_admin_listen; ///< The last of them.
     endpoint m_publisher;
+    std::vector<endpoint>
+        m_seeds; ///< Nodes to ask first; their ports are not used.
     std::string m_log_level;
     std::chrono::milliseconds m_probe_interval{40};
     double m_retry_ratio = 0.2; ///< Second attempts for each request.
--- a/src/include/hibiscustide/core/directory/reading.hpp
+++ b/src/include/hibiscustide/core/directory/reading.hpp
@@ -28,6 +28,10 @@
     /// A node of the own domain says whether it reads.
     void on_peer(std::string_view address, bool reads, time_point now);
 
+    /// The node has just learned what is published: readers that are there have
+    /// time to say so.
+    void begin(time_point now) noexcept;
+
     /// Whether this node reads.
     [[nodiscard]] bool is_due(time_point now) const noexcept;
 
--- a/src/include/hibiscustide/core/retry/attempt_budget.hpp
+++ b/src/include/hibiscustide/core/retry/attempt_budget.hpp
@@ -19,9 +19,22 @@
     double m_slack = 0; ///< This node's share of what comes on top.
 };
 
+/// What a second attempt is for.
+enum class attempt_purpose
+{
+    /// The first target turned the request away without running it.
+    placement,
+    /// The first target failed it, is slow or has fallen silent.
+    repeat,
+};
+
 /// Second attempts at the targets of one service. Over any window they stay
 /// within ratio x requests + slack; summed over the nodes that gives the bound
-/// of the fleet, without a word between them. Not thread-safe.
+/// of the fleet, without a word between them.
+///
+/// Answers targets that turn requests away while requests fail for it further
+/// up: repeats run work again, and the calls that it makes, so they get only a
+/// part and leave the rest to requests that have not run yet. Not thread-safe.
 class attempt_budget
 {
 public:
@@ -33,11 +46,11 @@
     /// A request of a caller came for the service.
     void earn(time_point now);
 
-    /// Takes one second attempt; false where none is left.
-    [[nodiscard]] bool spend(time_point now);
+    /// Takes one second attempt; false where none is left for the purpose.
+    [[nodiscard]] bool spend(attempt_purpose purpose, time_point now);
 
-    /// Second attempts left.
-    [[nodiscard]] double left(time_point now);
+    /// Second attempts left for the purpose.
+    [[nodiscard]] double left(attempt_purpose purpose, time_point now);
 
 private:
     struct slice
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -1,5 +1,6 @@
 #include <hibiscustide/core/config/mesh_settings.hpp>
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -49,6 +50,22 @@
         .m_last = static_cast<std::uint16_t>(last)};
 }
 
+// Addresses with commas between them; none where the text is empty.
+std::vector<endpoint> read_seeds(
+    setting_checker& check, std::string const& text)
+{
+    std::vector<endpoint> seeds;
+    std::size_t begins = 0;
+    while (begins < text.size())
+    {
+        auto const ends = std::min(text.find(',', begins), text.size());
+        seeds.push_back(
+            check.address("--seeds", text.substr(begins, ends - begins)));
+        begins = ends + 1;
+    }
+    return seeds;
+}
+
 } // namespace
 
 checked<mesh_settings> check_settings(mesh_settings_text const& text)
@@ -69,6 +86,7 @@
         .m_peer_listen = {.m_address = peer_address, .m_port = ports.m_first},
         .m_admin_listen = {.m_address = peer_address, .m_port = ports.m_last},
         .m_publisher = check.address("--publisher", text.m_publisher),
+        .m_seeds = read_seeds(check, text.m_seeds),
         .m_log_level =
             check.one_of("--log-level", text.m_log_level, log_levels),
         .m_probe_interval = milliseconds{check.count(
--- a/src/libhibiscustide/core/directory/reading.cpp
+++ b/src/libhibiscustide/core/directory/reading.cpp
@@ -18,6 +18,11 @@
     }
 }
 
+void reading_duty::begin(time_point now) noexcept
+{
+    m_heard_at = now;
+}
+
 bool reading_duty::is_due(time_point now) const noexcept
 {
     return !m_heard_at || now - *m_heard_at > reader_silence;
--- a/src/libhibiscustide/core/retry/attempt_budget.cpp
+++ b/src/libhibiscustide/core/retry/attempt_budget.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::chrono::milliseconds slice_length{250};
 
+// The part of all second attempts that repeats may use.
+constexpr double repeat_share = 0.5;
+
 } // namespace
 
 attempt_budget::attempt_budget(attempt_budget_options const& options)
@@ -26,9 +29,9 @@
     ++m_requests;
 }
 
-bool attempt_budget::spend(time_point now)
+bool attempt_budget::spend(attempt_purpose purpose, time_point now)
 {
-    if (left(now) < 1.0)
+    if (left(purpose, now) < 1.0)
     {
         return false;
     }
@@ -37,10 +40,12 @@
     return true;
 }
 
-double attempt_budget::left(time_point now)
+double attempt_budget::left(attempt_purpose purpose, time_point now)
 {
     static_cast<void>(slice_at(now));
-    return m_options.m_ratio * m_requests + m_options.m_slack - m_spent;
+    double const all = m_options.m_ratio * m_requests + m_options.m_slack;
+    double const part = purpose == attempt_purpose::repeat ? repeat_share : 1.0;
+    return all * part - m_spent;
 }
 
 // The slice that is open now. One that has left the window takes its requests
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -194,6 +194,7 @@
     auto& node = *ended.m_node;
     ended.m_progress.advance(node.m_view.report().m_speed.m_slowness, now);
     m_reached += result.m_reached_target ? 1 : 0;
+    m_ran += result.m_outcome == outcome::not_run ? 0 : 1;
     if (result.m_outcome == outcome::answered)
     {
         node.m_view.on_answered();
@@ -233,8 +234,8 @@
     bool const reached = result.m_reached_target;
     m_last_refusal = std::move(result);
     bool const has_room =
-        !reached || (m_reached < m_options.m_route.m_max_targets &&
-                     m_options.m_budget->spend(clock_now()));
+        !reached || m_options.m_budget->spend(
+                        core::retry::attempt_purpose::placement, clock_now());
     if (!has_room)
     {
         if (running() == 0)
@@ -258,7 +259,8 @@
         best_other_cost(now), m_options.m_usual_work,
         m_options.m_deadline - now);
     bool const again =
-        may_repeat() && in_time && m_options.m_budget->spend(now);
+        may_repeat() && in_time &&
+        m_options.m_budget->spend(core::retry::attempt_purpose::repeat, now);
     m_last_failure = std::move(result);
     if (again)
     {
@@ -291,7 +293,7 @@
         .m_objective_left = m_options.m_objective - now,
         .m_deadline_left = m_options.m_deadline - now};
     if (!core::retry::is_worth_repeating(question) ||
-        !m_options.m_budget->spend(now))
+        !m_options.m_budget->spend(core::retry::attempt_purpose::repeat, now))
     {
         return;
     }
@@ -395,7 +397,7 @@
 bool call::may_repeat() const
 {
     return m_options.m_request.m_idempotent &&
-           m_reached + running() < m_options.m_route.m_max_targets;
+           m_ran + running() < m_options.m_route.m_max_targets;
 }
 
 std::size_t call::running() const
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -105,6 +105,7 @@
     std::optional<run_result> m_last_failure; ///< Told if nothing better comes.
     run_result m_last_refusal;
     std::size_t m_reached = 0; ///< Targets that the request has reached.
+    std::size_t m_ran = 0;     ///< Targets that may have run it.
     bool m_finished = false;
 };
 
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -263,6 +263,7 @@
     {
         on(value.m_incarnation);
         on(value.m_sequence);
+        on(value.m_domain);
         on(value.m_revision);
         on(value.m_reads);
         on(value.m_returned);
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -33,6 +33,14 @@
 // Others are told for this long that the service was away.
 constexpr milliseconds returned_for{1'500};
 
+// Between two reads that brought something, so that changes that come close
+// together are read together.
+constexpr milliseconds read_pause{300};
+
+// How long nodes from the settings have to answer before the service is read.
+constexpr milliseconds seed_patience{300};
+constexpr milliseconds seed_check{20};
+
 constexpr milliseconds duty_check{100};
 constexpr milliseconds expire_interval{100};
 constexpr milliseconds first_retry{80};
@@ -91,6 +99,7 @@
 
 awaitable<void> directory_sync::read_loop()
 {
+    co_await hear_from_seeds();
     while (true)
     {
         bool const knows = m_replica.revision() > 0;
@@ -113,6 +122,10 @@
                 std::get_if<core::directory::item_changes>(&read))
         {
             on_read(*changes);
+            if (!changes->m_items.empty())
+            {
+                co_await pause(read_pause);
+            }
         }
         else if (std::holds_alternative<history_lost>(read))
         {
@@ -131,6 +144,17 @@
     }
 }
 
+// A node that starts among others spares the service.
+awaitable<void> directory_sync::hear_from_seeds()
+{
+    m_options.m_ask_seeds();
+    auto const until = clock_now() + seed_patience;
+    while (m_replica.revision() == 0 && clock_now() < until)
+    {
+        co_await pause(seed_check);
+    }
+}
+
 awaitable<void> directory_sync::expire_loop()
 {
     while (true)
@@ -177,6 +201,10 @@
 
 void directory_sync::apply(core::directory::item_changes const& changes)
 {
+    if (m_replica.revision() == 0 && changes.m_revision > 0)
+    {
+        m_duty.begin(clock_now());
+    }
     for (auto const& entry : m_replica.apply(changes))
     {
         apply_item(entry);
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -36,6 +36,8 @@
 {
     std::string m_address; ///< Of this node.
     std::function<void(directory_update const&)> m_on_update;
+    /// Asks nodes that are known from the settings for what is published.
+    std::function<void()> m_ask_seeds;
 };
 
 /// Lives on the control thread.
@@ -64,6 +66,7 @@
 
 private:
     awaitable<void> read_loop();
+    awaitable<void> hear_from_seeds();
     awaitable<void> expire_loop();
     awaitable<void> pause(core::duration span);
     void on_read(core::directory::item_changes const& changes);
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -125,6 +125,7 @@
 {
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_sequence = 0;
+    std::uint32_t m_domain = 0;   ///< Stands for its failure domain.
     std::uint64_t m_revision = 0; ///< Of the published items that it knows.
     bool m_reads = false; ///< It has heard from the publishing service lately.
     bool m_returned = false; ///< The service was away until lately.
--- a/src/libhibiscustide/net/mesh/neighbours.cpp
+++ b/src/libhibiscustide/net/mesh/neighbours.cpp
@@ -3,11 +3,21 @@
 #include <set>
 #include <utility>
 
+#include <hibiscustide/core/hash.hpp>
+
 #include "net/clock.hpp"
 
 namespace hibiscustide::net::mesh
 {
 
+namespace
+{
+
+// A node that no target names is kept while it says that it is there.
+constexpr std::chrono::milliseconds heard_lately{3'000};
+
+} // namespace
+
 neighbours::neighbours(asio::io_context& context, neighbours_options options)
     : m_context{context},
       m_options{std::move(options)},
@@ -23,6 +33,7 @@
 void neighbours::change_directory(
     core::directory::directory_ptr const& now_in_force)
 {
+    auto const now = clock_now();
     std::set<std::string> named{m_options.m_address};
     m_members.clear();
     for (auto const& target : now_in_force->targets())
@@ -44,7 +55,8 @@
         // Requests may still be with a node whose target has gone.
         auto const& link = it->second->m_link;
         bool const is_used = link && link->pending() > 0;
-        if (named.contains(it->first) || is_used)
+        bool const is_there = now - it->second->m_heard_at < heard_lately;
+        if (named.contains(it->first) || is_used || is_there)
         {
             ++it;
             continue;
@@ -54,14 +66,25 @@
     }
 }
 
+std::uint32_t neighbours::domain() const noexcept
+{
+    return static_cast<std::uint32_t>(
+        core::hash_of(m_options.m_failure_domain));
+}
+
 void neighbours::on_status(
     std::string const& address, node_status const& status, core::time_point now)
 {
-    auto const node = find(address);
-    if (!node || node->m_is_self)
+    bool const is_new = find(address) == nullptr;
+    auto const node = meet(address);
+    if (node->m_is_self)
     {
         return;
     }
+    if (is_new)
+    {
+        node->m_same_domain = status.m_domain == domain();
+    }
     if (node->m_incarnation != status.m_incarnation)
     {
         node->m_incarnation = status.m_incarnation;
--- a/src/libhibiscustide/net/mesh/neighbours.hpp
+++ b/src/libhibiscustide/net/mesh/neighbours.hpp
@@ -58,7 +58,11 @@
     /// Adds and removes nodes, and finds the members of each service.
     void change_directory(core::directory::directory_ptr const& now_in_force);
 
-    /// Takes over what a node says of itself.
+    /// What stands for the own failure domain in statuses.
+    [[nodiscard]] std::uint32_t domain() const noexcept;
+
+    /// Takes over what a node says of itself. One that is not known yet is
+    /// added: its target may not have registered.
     void on_status(
         std::string const& address, node_status const& status,
         core::time_point now);
--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -50,6 +50,7 @@
       m_distant{distant_telling}
 {
     m_status.m_incarnation = m_options.m_incarnation;
+    m_status.m_domain = nodes.domain();
 }
 
 std::optional<std::string> status_exchange::start()
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -24,8 +24,8 @@
 // What a node uses of its share of second attempts: calls that a repeated
 // request makes count too, and a node that starts anew has forgotten what it
 // spent.
-constexpr double used_retry_share = 0.85;
-constexpr double used_slack_share = 0.5;
+constexpr double used_retry_share = 0.55;
+constexpr double used_slack_share = 0.4;
 
 // A peer that was asked for changes has this long before another is.
 constexpr milliseconds ask_interval{150};
@@ -143,6 +143,23 @@
         });
 }
 
+void traffic::ask_seeds()
+{
+    asio::post(
+        m_context,
+        [this]
+        {
+            for (auto const& seed : m_settings.m_seeds)
+            {
+                auto const node = m_nodes.meet(seed.m_address);
+                if (!node->m_is_self)
+                {
+                    node->m_link->ask_changes(0);
+                }
+            }
+        });
+}
+
 void traffic::reply(
     std::function<void(core::directory::item_changes)> const& to,
     core::directory::item_changes changes)
--- a/src/libhibiscustide/net/mesh/traffic.hpp
+++ b/src/libhibiscustide/net/mesh/traffic.hpp
@@ -60,6 +60,9 @@
 
     void update(directory_update const& update);
 
+    /// Asks the nodes that the settings name for all that is published.
+    void ask_seeds();
+
     /// Gives a peer what it asked for.
     void reply(
         std::function<void(core::directory::item_changes)> const& to,
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -94,6 +94,11 @@
            {
                m_version = update.m_directory->config().m_version;
                m_traffic.update(update);
+           },
+           .m_ask_seeds =
+               [this]
+           {
+               m_traffic.ask_seeds();
            }},
           make_publisher(m_context),
           m_counts},
