--- a/src/include/hibiscustide/core/admission/admission_queue.hpp
+++ b/src/include/hibiscustide/core/admission/admission_queue.hpp
@@ -69,8 +69,13 @@
     /// Sets how fast the target works.
     void set_speed(routing::speed const& forecast) noexcept;
 
+    /// While the target is cold: the requests a second that it bears.
+    void set_cold_rate(std::optional<double> per_second) noexcept;
+
+    /// `may_start` tells whether the target bears another request at this
+    /// moment, apart from its slots.
     [[nodiscard]] admission_decision enter(
-        admission_request const& request, time_point now);
+        admission_request const& request, bool may_start, time_point now);
 
     /// A slot may be used by the next request: gives it, and it counts as
     /// running from then on. Nothing where no slot or no request is there.
@@ -115,6 +120,7 @@
 
     std::uint32_t m_slots = 1;
     routing::speed m_speed;
+    std::optional<double> m_cold_rate;
     std::uint32_t m_running = 0;
     duration m_running_work{};          ///< Usual work of what runs.
     std::uint32_t m_least_urgent = 0;   ///< Greatest priority number seen.
--- a/src/include/hibiscustide/core/admission/cold_rate.hpp
+++ b/src/include/hibiscustide/core/admission/cold_rate.hpp
@@ -17,7 +17,7 @@
 {
 public:
     /// Share of a second's requests that may come at once.
-    static constexpr double burst_share = 0.2;
+    static constexpr double burst_share = 0.1;
 
     /// Begins with an empty bucket, for a target that has just turned cold.
     void start(double per_second, time_point now) noexcept;
--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -30,6 +30,7 @@
     std::string m_seeds;
     std::string m_log_level = "info";
     std::string m_probe_interval_ms = "40";
+    std::string m_cold_overage = "1";
     std::string m_retry_ratio = "0.2";
     std::string m_retry_window_s = "10";
     std::string m_retry_slack = "10";
@@ -52,6 +53,7 @@
         m_seeds; ///< Nodes to ask first; their ports are not used.
     std::string m_log_level;
     std::chrono::milliseconds m_probe_interval{40};
+    double m_cold_overage = 1;  ///< Borne above a cold target's published rate.
     double m_retry_ratio = 0.2; ///< Second attempts for each request.
     std::chrono::seconds m_retry_window{10};
     double m_retry_slack = 0; ///< On top of the ratio, for the fleet.
--- a/src/libhibiscustide/core/admission/admission_queue.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue.cpp
@@ -18,6 +18,9 @@
 // Kept beyond the mean, since the need varies.
 constexpr double need_margin = 1.2;
 
+// Requests a second.
+constexpr double least_cold_rate = 0.1;
+
 } // namespace
 
 void admission_queue::set_slots(std::uint32_t slots) noexcept
@@ -30,8 +33,13 @@
     m_speed = forecast;
 }
 
+void admission_queue::set_cold_rate(std::optional<double> per_second) noexcept
+{
+    m_cold_rate = per_second;
+}
+
 admission_decision admission_queue::enter(
-    admission_request const& request, time_point now)
+    admission_request const& request, bool may_start, time_point now)
 {
     if (request.m_deadline <= now)
     {
@@ -46,7 +54,7 @@
     m_least_urgent = std::max(m_least_urgent, request.m_priority);
     track_need(now);
     bool const is_first = m_queue.empty() || mine < *m_queue.begin();
-    if (is_first && has_slot(mine))
+    if (is_first && may_start && has_slot(mine))
     {
         begin(mine);
         return run_now{};
@@ -203,6 +211,7 @@
 duration admission_queue::wait_before(place const& mine) const
 {
     duration work = m_running_work / std::max<std::uint32_t>(m_running, 1);
+    double ahead = 1;
     for (auto const& waiting : m_queue)
     {
         if (mine < waiting)
@@ -210,8 +219,16 @@
             break;
         }
         work += waiting.m_work;
+        ++ahead;
+    }
+    auto const for_slot = expected_time(m_speed, work / m_slots);
+    if (!m_cold_rate)
+    {
+        return for_slot;
     }
-    return expected_time(m_speed, work / m_slots);
+    std::chrono::duration<double> const for_rate{
+        ahead / std::max(*m_cold_rate, least_cold_rate)};
+    return std::max(for_slot, std::chrono::duration_cast<duration>(for_rate));
 }
 
 bool admission_queue::is_in_time(
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -20,6 +20,7 @@
 constexpr bounds<std::uint64_t> stop_ms_bounds{0, 600'000};
 constexpr bounds<std::uint64_t> port_bounds{1, 65'535};
 constexpr bounds<double> ratio_bounds{0.0, 1.0};
+constexpr bounds<double> overage_bounds{0.1, 10.0};
 constexpr bounds<double> slack_bounds{0.0, 1e6};
 
 struct port_range
@@ -91,6 +92,8 @@
             check.one_of("--log-level", text.m_log_level, log_levels),
         .m_probe_interval = milliseconds{check.count(
             "--probe-interval-ms", text.m_probe_interval_ms, probe_ms_bounds)},
+        .m_cold_overage =
+            check.share("--cold-overage", text.m_cold_overage, overage_bounds),
         .m_retry_ratio =
             check.share("--retry-ratio", text.m_retry_ratio, ratio_bounds),
         .m_retry_window = std::chrono::seconds{check.count(
--- a/src/libhibiscustide/core/retry/attempt_budget.cpp
+++ b/src/libhibiscustide/core/retry/attempt_budget.cpp
@@ -9,7 +9,7 @@
 constexpr std::chrono::milliseconds slice_length{250};
 
 // The part of all second attempts that repeats may use.
-constexpr double repeat_share = 0.5;
+constexpr double repeat_share = 0.6;
 
 } // namespace
 
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -32,9 +32,8 @@
 // A gate that has said nothing for this long is asked whether it is there.
 constexpr milliseconds ping_after{250};
 
-// A gate that has said nothing for this long while requests are with it has
-// lost the connection.
-constexpr milliseconds silence_limit{900};
+// A gate that does not answer that for this long has lost the connection.
+constexpr milliseconds answer_limit{650};
 
 // How long a request that may be repeated waits for a gate that can't be
 // reached.
@@ -249,6 +248,7 @@
 void peer_link::greet()
 {
     ++m_connection;
+    m_pinged_at.reset();
     m_stream->send(m_options.m_hello);
     resume_requests earlier;
     for (auto const& [id, request] : m_pending)
@@ -287,8 +287,11 @@
             give_up(now, false);
             continue;
         }
-        auto const silent = now - m_stream->heard_at();
-        if (silent > silence_limit)
+        if (m_pinged_at && m_stream->heard_at() >= *m_pinged_at)
+        {
+            m_pinged_at.reset();
+        }
+        if (m_pinged_at && now - *m_pinged_at > answer_limit)
         {
             log_event(
                 event::peer_silent,
@@ -297,9 +300,10 @@
             m_stream->close();
             on_closed();
         }
-        else if (silent > ping_after)
+        else if (!m_pinged_at && now - m_stream->heard_at() > ping_after)
         {
             m_stream->send(ping{});
+            m_pinged_at = now;
         }
     }
     m_watching = false;
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -93,6 +94,7 @@
     std::uint64_t m_next_id = 1;
     std::uint64_t m_connection = 0;  ///< Number of the newest connection.
     std::uint64_t m_incarnation = 0; ///< Of the gate; 0 before its first hello.
+    std::optional<core::time_point> m_pinged_at; ///< Since something came.
     std::uint64_t m_wanted_after = 0;
     bool m_changes_wanted = false;
     bool m_connecting = false;
--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -70,6 +70,7 @@
 
     std::vector<std::uint64_t> m_runs;
     std::vector<std::uint64_t> m_asked;
+    int m_connections = 0;
 
 private:
     asio::awaitable<void> accept_loop()
@@ -82,6 +83,7 @@
             {
                 co_return;
             }
+            ++m_connections;
             m_stream = std::make_shared<mesh::frame_stream>(std::move(socket));
             m_stream->start(
                 [this, silent = m_silent](mesh::message&& value)
@@ -228,6 +230,22 @@
     CHECK(test.m_results.front().m_outcome == mesh::outcome::not_run);
 }
 
+TEST_CASE("a link that was idle is not taken for silent")
+{
+    fixture test;
+    auto const first = test.run(false);
+    test.wait(50ms);
+    test.m_gate.answer(first);
+    test.wait(1'200ms);
+    auto const second = test.run(false);
+    test.wait(900ms);
+    CHECK(test.m_gate.m_asked.empty());
+    CHECK(test.m_gate.m_connections == 1);
+    test.m_gate.answer(second);
+    test.wait(50ms);
+    CHECK(test.m_results.size() == 2);
+}
+
 TEST_CASE("what was never sent to a gate that is gone did not run")
 {
     asio::io_context context;
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -42,6 +42,9 @@
         milliseconds{1}, std::chrono::duration_cast<milliseconds>(left));
 }
 
+// Kept back of what a cold target bears above its rate.
+constexpr double used_overage_share = 0.9;
+
 core::duration usual_work(run_request const& request)
 {
     return milliseconds{request.m_work_ms};
@@ -128,13 +131,10 @@
     item->m_done = std::move(done);
     m_queue.set_speed(m_health.speed(now));
     bool const is_cold = m_health.is_cold(now);
-    if (is_cold && m_cold.left(now) == 0)
-    {
-        item->m_done(
-            refusal(core::reason::target_cold, false, m_cold.next(now) - now));
-        return id;
-    }
-    auto const decision = m_queue.enter(entry, now);
+    m_queue.set_cold_rate(
+        is_cold ? std::optional{m_cold_per_second} : std::nullopt);
+    bool const may_start = !is_cold || m_cold.left(now) > 0;
+    auto const decision = m_queue.enter(entry, may_start, now);
     if (auto const* const refused =
             std::get_if<core::admission::refuse_request>(&decision))
     {
@@ -450,7 +450,8 @@
         return;
     }
     m_health_path = service->m_health_path;
-    m_cold_per_second = service->m_cold_rate;
+    m_cold_per_second =
+        service->m_cold_rate * m_options.m_cold_overage * used_overage_share;
     m_pool.limit(std::max<std::uint32_t>(service->m_max_connections, 4) - 3);
     auto const is_open = report().m_open;
     if (was_open != is_open && m_on_change)
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -33,6 +33,7 @@
 {
     core::endpoint m_target;
     std::chrono::milliseconds m_probe_interval{40};
+    double m_cold_overage = 1.0; ///< Of what a cold target says it bears.
 };
 
 /// Takes requests from this node and from others, and runs them at the target
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -24,8 +24,8 @@
 // What a node uses of its share of second attempts: calls that a repeated
 // request makes count too, and a node that starts anew has forgotten what it
 // spent.
-constexpr double used_retry_share = 0.55;
-constexpr double used_slack_share = 0.4;
+constexpr double used_retry_share = 0.6;
+constexpr double used_slack_share = 0.6;
 
 // A peer that was asked for changes has this long before another is.
 constexpr milliseconds ask_interval{150};
@@ -56,7 +56,8 @@
       m_gate{
           m_context,
           {.m_target = settings.m_target,
-           .m_probe_interval = settings.m_probe_interval},
+           .m_probe_interval = settings.m_probe_interval,
+           .m_cold_overage = settings.m_cold_overage},
           wire,
           counts},
       m_dispatcher{
@@ -239,6 +240,10 @@
 
 void traffic::on_status(std::string const& address, node_status const& status)
 {
+    if (status.m_incarnation == m_incarnation)
+    {
+        return;
+    }
     m_nodes.on_status(address, status, clock_now());
     auto const node = m_nodes.find(address);
     m_handlers.m_on_status(address, node && node->m_same_domain, status);
