A server that finishes reads no more; gates measure work; lower ranks spare the store

Once the server finishes it answers what it has read. The new test of the server failed before.

Gates tell the time at the target as it would have been at its usual speed, and the usual work of a route follows that, not the wait in queues.

Nodes below the first rank wait up to 2 s.

--- a/src/include/hibiscustide/core/directory/reading.hpp
+++ b/src/include/hibiscustide/core/directory/reading.hpp
@@ -20,14 +20,22 @@
 class reading_duty
 {
 public:
+    /// How long the node of the highest rank, and the others, wait at most
+    /// before they try again a service that does not answer.
+    static constexpr std::chrono::milliseconds first_rank_retry{400};
+    static constexpr std::chrono::milliseconds other_rank_retry{2'000};
+
     /// A reader that says nothing for this long is replaced.
     static constexpr std::chrono::milliseconds reader_silence{1'000};
 
     explicit reading_duty(std::string_view own_address);
 
-    /// A node of the own domain says whether it reads.
+    /// A node of the own domain says that it is there and whether it reads.
     void on_peer(std::string_view address, bool reads, time_point now);
 
+    /// Whether on_peer needs to hear of the address.
+    [[nodiscard]] bool is_outranked_by(std::string_view address) const noexcept;
+
     /// The node has just learned what is published: readers that are there have
     /// time to say so.
     void begin(time_point now) noexcept;
@@ -35,9 +43,14 @@
     /// Whether this node reads.
     [[nodiscard]] bool is_due(time_point now) const noexcept;
 
+    /// How long to wait at most before another try after failures.
+    [[nodiscard]] std::chrono::milliseconds longest_retry(
+        time_point now) const noexcept;
+
 private:
     std::uint64_t m_own_rank;
-    std::optional<time_point> m_heard_at; ///< From a reader of higher rank.
+    std::optional<time_point> m_heard_at;     ///< From a reader of higher rank.
+    std::optional<time_point> m_outranked_at; ///< Heard from a higher rank.
 };
 
 } // namespace hibiscustide::core::directory
--- a/src/libhibiscustide/core/directory/reading_test.cpp
+++ b/src/libhibiscustide/core/directory/reading_test.cpp
@@ -48,3 +48,15 @@
     CHECK_FALSE(second.is_due(start + 900ms));
     CHECK(second.is_due(start + reading_duty::reader_silence + 1ms));
 }
+
+TEST_CASE("while the service is away, those of lower rank try it seldom")
+{
+    auto const [high, low] = by_rank();
+    reading_duty first{high};
+    reading_duty second{low};
+    first.on_peer(low, false, start);
+    second.on_peer(high, false, start);
+    CHECK(first.longest_retry(start) == reading_duty::first_rank_retry);
+    CHECK(second.longest_retry(start) == reading_duty::other_rank_retry);
+    CHECK(second.longest_retry(start + 2s) == reading_duty::first_rank_retry);
+}
--- a/src/libhibiscustide/core/retry/repeat.cpp
+++ b/src/libhibiscustide/core/retry/repeat.cpp
@@ -10,7 +10,7 @@
 {
 
 // Work varies, so an answer is taken for lost only well past its time.
-constexpr double lost_after = 2.5;
+constexpr double lost_after = 2.0;
 
 // Work varies: some takes only this part of the usual time.
 constexpr double quickest_share = 0.6;
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -263,7 +263,9 @@
     {
         co_await connection->m_room.async_wait(no_throw);
     }
-    if (connection->m_closing)
+    // Once the server finishes, what has not been read is left to the caller
+    // to send elsewhere.
+    if (connection->m_closing || m_finished)
     {
         co_return false;
     }
--- /dev/null
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -0,0 +1,133 @@
+#include "net/http_server.hpp"
+
+#include <map>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include "net/replies.hpp"
+#include "net/socket.hpp"
+
+namespace asio = hibiscustide::net::asio;
+namespace net = hibiscustide::net;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr char const* address = "127.0.0.1";
+constexpr std::uint16_t port = 28'431;
+
+// A server whose answers come when the test says so.
+struct fixture
+{
+    fixture()
+    {
+        m_server = std::make_shared<net::http_server>(
+            m_context,
+            net::http_server_options{
+                .m_listen = {.m_address = address, .m_port = port},
+                .m_max_pipelined = 8},
+            [this](
+                net::http_request& request,
+                std::shared_ptr<net::call_scope> const& /*scope*/)
+            {
+                return answer(std::string{request.target()});
+            },
+            net::malformed_reply);
+        REQUIRE_FALSE(m_server->start().has_value());
+        m_client.connect(net::to_asio({.m_address = address, .m_port = port}));
+        m_client.non_blocking(true);
+    }
+
+    net::awaitable<net::http_response> answer(std::string path)
+    {
+        m_asked.push_back(path);
+        asio::steady_timer timer{m_context};
+        while (!m_ready[path])
+        {
+            timer.expires_after(2ms);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        co_return net::text_reply(net::status::ok, path);
+    }
+
+    void send(std::string const& path)
+    {
+        auto const text = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+        asio::write(m_client, asio::buffer(text));
+    }
+
+    void wait()
+    {
+        m_context.restart();
+        m_context.run_for(60ms);
+    }
+
+    std::string read()
+    {
+        wait();
+        std::string text(8'192, '\0');
+        boost::system::error_code error;
+        auto const count = m_client.read_some(asio::buffer(text), error);
+        m_is_closed = error == asio::error::eof;
+        text.resize(count);
+        return text;
+    }
+
+    asio::io_context m_context;
+    std::shared_ptr<net::http_server> m_server;
+    asio::ip::tcp::socket m_client{m_context};
+    std::vector<std::string> m_asked;
+    std::map<std::string, bool> m_ready;
+    bool m_is_closed = false;
+};
+
+} // namespace
+
+TEST_CASE("requests on one connection run side by side, answered in order")
+{
+    fixture test;
+    test.send("/1");
+    test.send("/2");
+    test.wait();
+    CHECK(test.m_asked == std::vector<std::string>{"/1", "/2"});
+    test.m_ready["/2"] = true;
+    CHECK(test.read().empty());
+    test.m_ready["/1"] = true;
+    auto const text = test.read();
+    REQUIRE(text.find("\r\n\r\n/1") != std::string::npos);
+    CHECK(text.find("\r\n\r\n/1") < text.find("\r\n\r\n/2"));
+}
+
+TEST_CASE("a server that finishes answers what it has read and reads no more")
+{
+    fixture test;
+    test.send("/1");
+    test.wait();
+    test.m_server->begin_drain();
+    test.m_server->stop_accepting();
+    test.m_server->close_idle();
+    CHECK(test.m_server->busy() == 1);
+    test.send("/2");
+    test.wait();
+    CHECK(test.m_asked == std::vector<std::string>{"/1"});
+    test.m_ready["/1"] = true;
+    CHECK(test.read().find("/1") != std::string::npos);
+    CHECK(test.m_server->busy() == 0);
+}
+
+TEST_CASE("an idle connection is closed, a busy one is not")
+{
+    fixture test;
+    test.m_server->set_limits({}, 40ms, 1s);
+    test.send("/1");
+    test.wait();
+    CHECK(test.m_server->connections() == 1);
+    test.m_ready["/1"] = true;
+    CHECK_FALSE(test.read().empty());
+}
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -318,7 +318,6 @@
         .m_result = std::move(result), .m_attempts = m_attempts.size()};
     if (which)
     {
-        end.m_progress = m_attempts[*which].m_progress.done();
         end.m_target = m_attempts[*which].m_node->m_address;
     }
     m_end.set(std::move(end));
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -51,7 +51,6 @@
 struct call_result
 {
     run_result m_result;
-    double m_progress = 0; ///< Usual work times that the answer took.
     std::size_t m_attempts = 0;
     std::string m_target; ///< Address of the node that answered.
 };
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -233,6 +233,7 @@
         on(value.m_retry_after_ms);
         on(value.m_reached_target);
         on(value.m_status);
+        on(value.m_work_us);
         on(value.m_fields);
         on(value.m_body);
     }
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -44,7 +44,7 @@
 constexpr milliseconds duty_check{100};
 constexpr milliseconds expire_interval{100};
 constexpr milliseconds first_retry{80};
-constexpr milliseconds longest_retry{400};
+constexpr std::uint32_t max_doublings = 6;
 
 } // namespace
 
@@ -71,6 +71,11 @@
     m_duty.on_peer(address, reads, clock_now());
 }
 
+bool directory_sync::is_outranked_by(std::string const& address) const noexcept
+{
+    return m_duty.is_outranked_by(address);
+}
+
 void directory_sync::on_service_returned()
 {
     m_state.service_returned(clock_now());
@@ -137,9 +142,11 @@
         else
         {
             on_failure(std::get<read_failed>(read).m_reason);
-            auto const doublings = std::min<std::uint32_t>(m_failures, 4) - 1;
-            co_await pause(
-                std::min(first_retry * (1 << doublings), longest_retry));
+            auto const doublings =
+                std::min<std::uint32_t>(m_failures, max_doublings) - 1;
+            co_await pause(std::min(
+                first_retry * (1 << doublings),
+                m_duty.longest_retry(clock_now())));
         }
     }
 }
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -53,6 +53,11 @@
     /// A node of the own failure domain says whether it reads.
     void on_peer(std::string const& address, bool reads);
 
+    /// Whether on_peer needs to hear of the node. May be called from any
+    /// thread.
+    [[nodiscard]] bool is_outranked_by(
+        std::string const& address) const noexcept;
+
     /// A peer says that the service was away until lately.
     void on_service_returned();
 
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -310,21 +310,23 @@
     return response;
 }
 
-// The usual work follows the answers: their time is measured in usual work
-// times at the speed that the target reported.
+// The usual work follows the answers: gates tell the time at the target, as it
+// would have been at its usual speed.
 void dispatcher::learn(
     core::directory::route const& route, call_result const& end)
 {
-    bool const tells = end.m_result.m_outcome == outcome::answered &&
-                       end.m_result.m_status < 400 && end.m_progress > 0;
+    auto const& result = end.m_result;
+    bool const tells = result.m_outcome == outcome::answered &&
+                       result.m_status < 400 && result.m_work_us > 0;
     if (!tells)
     {
         return;
     }
     auto& work = work_of(route);
-    double const factor = std::clamp(end.m_progress, 0.2, 3.0);
+    core::duration const told = std::chrono::microseconds{result.m_work_us};
+    auto const bounded = std::clamp<core::duration>(told, work / 4, work * 4);
     std::chrono::duration<double> const next =
-        work * (1.0 - work_weight + work_weight * factor);
+        work * (1.0 - work_weight) + bounded * work_weight;
     work = std::chrono::duration_cast<core::duration>(next);
 }
 
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -74,6 +74,7 @@
     std::int64_t m_retry_after_ms = 0;
     bool m_reached_target = false; ///< The target saw it, also if it refused.
     std::uint32_t m_status = 0;
+    std::int64_t m_work_us = 0; ///< Time at the target, at its usual speed.
     header_fields m_fields;
     std::string m_body;
 
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -42,6 +42,8 @@
         milliseconds{1}, std::chrono::duration_cast<milliseconds>(left));
 }
 
+constexpr double microseconds_per_second = 1e6;
+
 // Kept back of what a cold target bears above its rate.
 constexpr double used_overage_share = 0.9;
 
@@ -73,6 +75,7 @@
     core::time_point m_objective;
     core::time_point m_started_at{};
     call_scope m_scope;
+    std::optional<core::retry::progress> m_progress; ///< Once it runs.
     bool m_running = false;
     bool m_cancelled = false;
 };
@@ -285,6 +288,13 @@
     auto const exchanged = co_await m_probe_pool.exchange(
         request, clock_now() + probe_limit, nullptr);
     auto const now = clock_now();
+    for (auto const& [id, item] : m_work)
+    {
+        if (item->m_progress)
+        {
+            item->m_progress->advance(before.m_speed.m_slowness, now);
+        }
+    }
     if (auto const* const response = std::get_if<http_response>(&exchanged))
     {
         auto const answer = m_wire.m_read_health(*response);
@@ -332,6 +342,7 @@
 {
     item->m_running = true;
     item->m_started_at = clock_now();
+    item->m_progress.emplace(std::chrono::seconds{1}, item->m_started_at);
     asio::co_spawn(
         m_context,
         [this, item]() -> awaitable<void>
@@ -349,6 +360,8 @@
                                         : core::duration{fresh_enough};
     auto exchanged = co_await m_pool.exchange(
         request, item->m_deadline, &item->m_scope, max_idle);
+    auto const now = clock_now();
+    item->m_progress->advance(m_health.speed(now).m_slowness, now);
     finish(item, to_result(*item, std::move(exchanged)));
 }
 
@@ -564,7 +577,9 @@
     run_result result{
         .m_outcome = outcome::answered,
         .m_reached_target = true,
-        .m_status = status};
+        .m_status = status,
+        .m_work_us = static_cast<std::int64_t>(
+            item.m_progress->done() * microseconds_per_second)};
     headers::remove_hop_by_hop(response);
     for (auto const& entry : response)
     {
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -145,18 +145,20 @@
         {
             bool const is_return = status.m_returned && !returned;
             returned = status.m_returned;
-            bool const tells_of_reading = same_domain && status.m_reads;
+            bool const tells_of_reading =
+                same_domain && m_directory.is_outranked_by(address);
             if (!is_return && !tells_of_reading)
             {
                 return;
             }
             asio::post(
                 m_context,
-                [this, address, is_return, tells_of_reading]
+                [this, address, is_return, tells_of_reading,
+                 reads = status.m_reads]
                 {
                     if (tells_of_reading)
                     {
-                        m_directory.on_peer(address, true);
+                        m_directory.on_peer(address, reads);
                     }
                     if (is_return)
                     {
