--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -12,9 +12,6 @@
 constexpr std::chrono::milliseconds first_leave_out{150};
 constexpr std::chrono::milliseconds longest_leave_out{2'000};
 
-// A cold target works at about half its speed.
-constexpr double cold_factor = 2.0;
-
 // A request that fails costs its caller this many usual work times.
 constexpr double failure_cost = 6.0;
 
@@ -102,10 +99,6 @@
     double const load = view.load();
     double const beyond = std::max(0.0, load + 1 - slots) / slots;
     double cost = slowness * (1.0 + crowding * load / slots + beyond);
-    if (report.m_cold)
-    {
-        cost *= cold_factor;
-    }
     cost += failure_cost * report.m_failing / 100.0;
     return cost + (candidate.m_same_domain ? 0.0 : distance_cost);
 }
