--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 lint: build
 	@run-clang-tidy-16 -quiet -p $(BUILD) -clang-tidy-binary clang-tidy-16 \
 	    -extra-arg=-Wno-unknown-warning-option \
-	    'src/.*\.cpp$$' >$(BUILD)/lint.txt 2>&1 || \
+	    '(src|platform)/.*\.cpp$$' >$(BUILD)/lint.txt 2>&1 || \
 	    { grep -E 'error:|warning:' $(BUILD)/lint.txt; exit 1; }
 
 # Runs the Agência's region with a failure domain that leaves and returns.
--- a/src/libhibiscustide/core/admission/admission_queue.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue.cpp
@@ -66,7 +66,7 @@
             .m_reason = reason::queue_full, .m_retry_after = wait};
     }
     wait_in_queue decision;
-    if (m_queue.size() >= m_slots * queue_per_slot)
+    if (m_queue.size() >= std::size_t{m_slots} * queue_per_slot)
     {
         auto const last = std::prev(m_queue.end());
         if (last->m_priority <= mine.m_priority)
@@ -140,6 +140,7 @@
 std::vector<std::uint64_t> admission_queue::take_all()
 {
     std::vector<std::uint64_t> ids;
+    ids.reserve(m_queue.size());
     for (auto const& waiting : m_queue)
     {
         ids.push_back(waiting.m_id);
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -171,6 +171,7 @@
         if (n % (20 / step_ms) == 0)
         {
             std::vector<routing::placement_candidate> candidates;
+            candidates.reserve(views.size());
             for (auto const& view : views)
             {
                 candidates.push_back({.m_view = &view, .m_same_domain = true});
--- a/src/libhibiscustide/net/log_sink.hpp
+++ b/src/libhibiscustide/net/log_sink.hpp
@@ -17,7 +17,7 @@
 class log_sink : public spdlog::sinks::base_sink<std::mutex>
 {
 public:
-    static constexpr std::size_t max_buffered_bytes = 256 * 1'024;
+    static constexpr std::size_t max_buffered_bytes = 262'144;
 
     explicit log_sink(int descriptor);
 
--- a/src/libhibiscustide/net/mesh/codec.hpp
+++ b/src/libhibiscustide/net/mesh/codec.hpp
@@ -18,7 +18,7 @@
 inline constexpr std::size_t frame_head_bytes = 4;
 
 /// A longer message ends the connection.
-inline constexpr std::size_t max_frame_bytes = 80 * 1'024 * 1'024;
+inline constexpr std::size_t max_frame_bytes = 83'886'080;
 
 /// A message with its length in front.
 [[nodiscard]] std::string encode_frame(message const& value);
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -63,11 +63,11 @@
     auto const patience = request.m_idempotent
                               ? repeatable_patience
                               : milliseconds{request.m_left_ms};
+    auto const left = milliseconds{request.m_left_ms};
     request.m_id = id;
     pending_request added{
         .m_done = std::move(done),
-        .m_give_up_at = now + std::min<milliseconds>(
-                                  patience, milliseconds{request.m_left_ms}),
+        .m_give_up_at = now + std::min(patience, left),
         .m_message = std::move(request)};
     auto const it = m_pending.emplace(id, std::move(added)).first;
     if (m_stream)
--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -26,8 +26,7 @@
 {
 public:
     explicit fake_gate(asio::io_context& context)
-        : m_context{context},
-          m_acceptor{context}
+        : m_acceptor{context}
     {
         REQUIRE_FALSE(hibiscustide::net::open_listener(
             m_acceptor, {.m_address = address, .m_port = 0}, false));
@@ -120,7 +119,6 @@
         }
     }
 
-    asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
     std::shared_ptr<mesh::frame_stream> m_stream;
     std::uint64_t m_incarnation = 1;
