--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -54,6 +54,8 @@
     attempt_failed = 612,
     attempt_repeated = 613,
     caller_left = 614,
+    attempt_placed = 615,
+    gate_refused = 616,
 };
 
 enum class level
--- a/src/libhibiscustide/core/observe/events.cpp
+++ b/src/libhibiscustide/core/observe/events.cpp
@@ -49,6 +49,8 @@
     {event::attempt_failed, level::info, "attempt_failed"},
     {event::attempt_repeated, level::info, "attempt_repeated"},
     {event::caller_left, level::info, "caller_left"},
+    {event::attempt_placed, level::info, "attempt_placed"},
+    {event::gate_refused, level::info, "gate_refused"},
 });
 
 } // namespace
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -159,6 +159,16 @@
     request.m_objective_ms =
         to_milliseconds(m_options.m_objective - now).count();
     request.m_repeated = m_reached > 0 || running() > 0;
+    auto const& report = node->m_view.report();
+    auto const age = to_milliseconds(now - node->m_view.reported_at());
+    log_event(
+        event::attempt_placed,
+        {{"request", m_options.m_request.m_attempt},
+         {"target", node->m_address},
+         {"version", static_cast<std::int64_t>(m_options.m_version)},
+         {"load", node->m_view.load()},
+         {"slowness", std::int64_t{report.m_speed.m_slowness}},
+         {"report_age_ms", age.count()}});
     node->m_view.on_sent();
     auto const which = m_attempts.size();
     m_attempts.push_back(
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -117,7 +117,7 @@
     auto const id = m_next_ticket++;
     if (auto const why = closed_for(request))
     {
-        done(refusal(*why));
+        refuse(request, done, refusal(*why));
         return id;
     }
     auto item = std::make_shared<work>();
@@ -141,7 +141,9 @@
     if (auto const* const refused =
             std::get_if<core::admission::refuse_request>(&decision))
     {
-        item->m_done(refusal(refused->m_reason, false, refused->m_retry_after));
+        refuse(
+            item->m_request, item->m_done,
+            refusal(refused->m_reason, false, refused->m_retry_after));
         return id;
     }
     m_work.emplace(id, item);
@@ -383,6 +385,23 @@
     }
 }
 
+void target_gate::refuse(
+    run_request const& request, done_handler const& done, run_result&& result)
+{
+    auto const state = report();
+    log_event(
+        event::gate_refused,
+        {{"request", request.m_attempt},
+         {"reason", core::to_string(result.m_reason)},
+         {"instance", m_entry ? m_entry->m_instance : ""},
+         {"running", std::int64_t{state.m_running}},
+         {"waiting", std::int64_t{state.m_waiting}},
+         {"slots", std::int64_t{state.m_slots}},
+         {"slowness", std::int64_t{state.m_speed.m_slowness}},
+         {"cold", std::int64_t{state.m_cold}}});
+    done(std::move(result));
+}
+
 void target_gate::end_slot(work const& item)
 {
     m_queue.end(
@@ -397,6 +416,9 @@
         return;
     }
     auto const item = it->second;
+    log_event(
+        event::gate_refused, {{"request", item->m_request.m_attempt},
+                              {"reason", core::to_string(why)}});
     finish(item, refusal(why));
 }
 
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -89,6 +89,9 @@
     awaitable<void> exchange(std::shared_ptr<work> item);
     void start_work(std::shared_ptr<work> const& item);
     void finish(std::shared_ptr<work> const& item, run_result result);
+    void refuse(
+        run_request const& request, done_handler const& done,
+        run_result&& result);
     void end_slot(work const& item);
     void refuse_waiting(ticket which, core::reason why);
     void pump();
