--- a/src/hibnode/main.cpp
+++ b/src/hibnode/main.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <hibiscustide/cli/setting_flags.hpp>
 #include <hibiscustide/core/config/node_settings.hpp>
 #include <hibiscustide/net/event_log.hpp>
 #include <hibiscustide/net/node.hpp>
@@ -13,6 +14,7 @@
 
 namespace config = hibiscustide::core::config;
 namespace net = hibiscustide::net;
+using hibiscustide::cli::add_setting;
 using hibiscustide::core::field_errors;
 using hibiscustide::core::observe::event;
 
@@ -32,20 +34,6 @@
 Exit status: 0 after a graceful shutdown, 1 where a listener can't be opened,
 2 where a setting is wrong.)";
 
-void add_setting(
-    CLI::App& app, std::string const& name, std::string& value,
-    std::string const& text)
-{
-    std::string variable = "HIBISCUSTIDE_";
-    for (auto const c : name)
-    {
-        variable += c == '-' ? '_' : static_cast<char>(std::toupper(c));
-    }
-    app.add_option("--" + name, value, text)
-        ->envname(variable)
-        ->capture_default_str();
-}
-
 void add_settings(CLI::App& app, config::node_settings_text& text)
 {
     add_setting(
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -11,7 +11,7 @@
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
-#include "net/headers.hpp"
+#include "net/mesh/target_gate_work.hpp"
 
 namespace hibiscustide::net::mesh
 {
@@ -28,58 +28,11 @@
 constexpr milliseconds probe_limit{400};
 constexpr milliseconds probe_idle_limit{5'000};
 
-// Targets that say nothing close idle connections after about ten seconds.
-constexpr milliseconds idle_limit{4'000};
-
-// A request that can't be repeated goes only over a connection that has been
-// used so lately that the target has not dropped it.
-constexpr milliseconds fresh_enough{1'000};
-
-milliseconds left_until(core::time_point deadline)
-{
-    auto const left = deadline - clock_now();
-    return std::max(
-        milliseconds{1}, std::chrono::duration_cast<milliseconds>(left));
-}
-
-constexpr double microseconds_per_second = 1e6;
-
 // Kept back of what a cold target bears above its rate.
 constexpr double used_overage_share = 0.9;
 
-core::duration usual_work(run_request const& request)
-{
-    return milliseconds{request.m_work_ms};
-}
-
-run_result refusal(
-    core::reason why, bool reached_target = false,
-    core::duration retry_after = {})
-{
-    return {
-        .m_outcome = outcome::not_run,
-        .m_reason = why,
-        .m_retry_after_ms =
-            std::chrono::duration_cast<milliseconds>(retry_after).count(),
-        .m_reached_target = reached_target};
-}
-
 } // namespace
 
-struct target_gate::work
-{
-    ticket m_ticket = 0;
-    run_request m_request;
-    done_handler m_done;
-    core::time_point m_deadline;
-    core::time_point m_objective;
-    core::time_point m_started_at{};
-    call_scope m_scope;
-    std::optional<core::retry::progress> m_progress; ///< Once it runs.
-    bool m_running = false;
-    bool m_cancelled = false;
-};
-
 target_gate::target_gate(
     asio::io_context& context, target_gate_options options,
     protocol const& wire, metrics& counts)
@@ -354,19 +307,6 @@
         asio::detached);
 }
 
-awaitable<void> target_gate::exchange(std::shared_ptr<work> item)
-{
-    auto const request = to_http(*item);
-    core::duration const max_idle = item->m_request.m_idempotent
-                                        ? core::duration{idle_limit}
-                                        : core::duration{fresh_enough};
-    auto exchanged = co_await m_pool.exchange(
-        request, item->m_deadline, &item->m_scope, max_idle);
-    auto const now = clock_now();
-    item->m_progress->advance(m_health.speed(now).m_slowness, now);
-    finish(item, to_result(*item, std::move(exchanged)));
-}
-
 void target_gate::finish(std::shared_ptr<work> const& item, run_result result)
 {
     m_work.erase(item->m_ticket);
@@ -521,114 +461,4 @@
     return std::nullopt;
 }
 
-http_request target_gate::to_http(work const& item) const
-{
-    auto const& wanted = item.m_request;
-    http_request request;
-    request.version(http_1_1);
-    request.method_string(wanted.m_method);
-    request.target(wanted.m_path);
-    for (auto const& entry : wanted.m_fields)
-    {
-        request.insert(entry.m_name, entry.m_value);
-    }
-    request.body() = wanted.m_body;
-    target_fields const fields{
-        .m_attempt = wanted.m_attempt,
-        .m_instance = m_entry ? m_entry->m_instance : "",
-        .m_caller = wanted.m_caller,
-        .m_left = left_until(item.m_deadline)};
-    m_wire.m_write_target(request, fields);
-    bool const has_body = !wanted.m_body.empty() || wanted.m_method == "POST" ||
-                          wanted.m_method == "PUT" ||
-                          wanted.m_method == "PATCH";
-    if (has_body)
-    {
-        request.content_length(wanted.m_body.size());
-    }
-    return request;
-}
-
-run_result target_gate::to_result(work const& item, exchange_result&& exchanged)
-{
-    if (auto const* const failure = std::get_if<exchange_failure>(&exchanged))
-    {
-        bool const refused = failure->m_reason == core::reason::connect_failed;
-        if (refused)
-        {
-            m_health.on_connect_failed(clock_now());
-        }
-        if (failure->m_reason != core::reason::caller_left)
-        {
-            note_outcome(item, target_outcome::failed);
-        }
-        if (!failure->m_sent)
-        {
-            return refusal(failure->m_reason);
-        }
-        m_pool.retire_idle();
-        return {
-            .m_outcome = outcome::may_have_run,
-            .m_reason = failure->m_reason,
-            .m_reached_target = true};
-    }
-    auto& response = std::get<http_response>(exchanged);
-    auto const fields = m_wire.m_read_answer(response);
-    if (fields.m_not_run)
-    {
-        note_outcome(item, target_outcome::refused);
-        auto const why = fields.m_other_instance ? core::reason::withdrawn
-                                                 : core::reason::target_refused;
-        return refusal(why, !fields.m_other_instance);
-    }
-    auto const status = response.result_int();
-    bool const is_success = status >= 200 && status < 300;
-    if (is_success && !fields.m_is_genuine)
-    {
-        note_outcome(item, target_outcome::failed);
-        m_counts.add(counter::answers_mismatched);
-        return {
-            .m_outcome = outcome::may_have_run,
-            .m_reason = core::reason::answer_mismatched,
-            .m_reached_target = true};
-    }
-    note_outcome(
-        item,
-        status >= 500 ? target_outcome::failed : target_outcome::answered);
-    m_counts.observe_target(clock_now() - item.m_started_at);
-    run_result result{
-        .m_outcome = outcome::answered,
-        .m_reached_target = true,
-        .m_status = status,
-        .m_work_us = static_cast<std::int64_t>(
-            item.m_progress->done() * microseconds_per_second)};
-    headers::remove_hop_by_hop(response);
-    for (auto const& entry : response)
-    {
-        std::string_view const name{
-            entry.name_string().data(), entry.name_string().size()};
-        if (!m_wire.m_is_internal(name) && name != "Content-Length")
-        {
-            result.m_fields.push_back(
-                {.m_name = std::string{name},
-                 .m_value = std::string{entry.value()}});
-        }
-    }
-    result.m_body = std::move(response.body());
-    return result;
-}
-
-void target_gate::note_outcome(work const& item, target_outcome what)
-{
-    auto const now = clock_now();
-    // Silence up to a deadline that was short anyway says nothing.
-    bool const is_short =
-        now - item.m_started_at < milliseconds{item.m_request.m_work_ms};
-    if (what == target_outcome::failed && is_short && now >= item.m_deadline)
-    {
-        return;
-    }
-    m_health.on_outcome(what, now);
-}
-
 } // namespace hibiscustide::net::mesh
