One reader of numbers in settings; no flag between nodes that nobody reads

Found by reading the change again. Whole and other numbers in settings were read by two functions alike but for the type; run_request told whether another target had been sent the request, and no gate used it.

--- a/src/hibload/plan.hpp
+++ b/src/hibload/plan.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// The regions that experiments run, at the sizes of the brief.
+/// The regions that experiments run, at the users' present sizes.
 #ifndef HIBISCUSTIDE_HIBLOAD_PLAN_HPP
 #define HIBISCUSTIDE_HIBLOAD_PLAN_HPP
 
--- a/src/include/hibiscustide/core/config/setting_checker.hpp
+++ b/src/include/hibiscustide/core/config/setting_checker.hpp
@@ -49,41 +49,13 @@
         char const* flag, std::string const& value,
         bounds<std::uint64_t> allowed)
     {
-        std::uint64_t number = 0;
-        auto const* const end = value.data() + value.size();
-        auto const [last, error] = std::from_chars(value.data(), end, number);
-        bool const good = error == std::errc{} && last == end &&
-                          number >= allowed.m_least &&
-                          number <= allowed.m_greatest;
-        if (!good)
-        {
-            reject(
-                flag, "'" + value + "' is no whole number between " +
-                          std::to_string(allowed.m_least) + " and " +
-                          std::to_string(allowed.m_greatest));
-            return allowed.m_least;
-        }
-        return number;
+        return number(flag, value, allowed, "whole number");
     }
 
     [[nodiscard]] double share(
         char const* flag, std::string const& value, bounds<double> allowed)
     {
-        double number = 0;
-        auto const* const end = value.data() + value.size();
-        auto const [last, error] = std::from_chars(value.data(), end, number);
-        bool const good = error == std::errc{} && last == end &&
-                          number >= allowed.m_least &&
-                          number <= allowed.m_greatest;
-        if (!good)
-        {
-            reject(
-                flag, "'" + value + "' is no number between " +
-                          std::to_string(allowed.m_least) + " and " +
-                          std::to_string(allowed.m_greatest));
-            return allowed.m_least;
-        }
-        return number;
+        return number(flag, value, allowed, "number");
     }
 
     template <typename Names>
@@ -116,6 +88,27 @@
     }
 
 private:
+    template <typename Number>
+    [[nodiscard]] Number number(
+        char const* flag, std::string const& value, bounds<Number> allowed,
+        std::string const& kind)
+    {
+        Number read{};
+        auto const* const end = value.data() + value.size();
+        auto const [last, error] = std::from_chars(value.data(), end, read);
+        bool const good = error == std::errc{} && last == end &&
+                          read >= allowed.m_least && read <= allowed.m_greatest;
+        if (!good)
+        {
+            reject(
+                flag, "'" + value + "' is no " + kind + " between " +
+                          std::to_string(allowed.m_least) + " and " +
+                          std::to_string(allowed.m_greatest));
+            return allowed.m_least;
+        }
+        return read;
+    }
+
     field_errors m_errors;
 };
 
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -158,7 +158,6 @@
         to_milliseconds(m_options.m_deadline - now).count(), 1);
     request.m_objective_ms =
         to_milliseconds(m_options.m_objective - now).count();
-    request.m_repeated = m_reached > 0 || running() > 0;
     auto const& report = node->m_view.report();
     auto const age = to_milliseconds(now - node->m_view.reported_at());
     log_event(
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -223,7 +223,6 @@
         on(value.m_work_ms);
         on(value.m_priority);
         on(value.m_idempotent);
-        on(value.m_repeated);
     }
     else if constexpr (std::is_same_v<type, run_result>)
     {
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -53,7 +53,6 @@
     std::int64_t m_work_ms = 0;      ///< Usual time at the target.
     std::uint32_t m_priority = 0;
     bool m_idempotent = false;
-    bool m_repeated = false; ///< Another target has been sent it.
 
     friend auto operator<=>(run_request const&, run_request const&) = default;
 };
