--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -24,6 +24,11 @@
 // How long to wait when no more descriptors can be had.
 constexpr std::chrono::milliseconds accept_pause{50};
 
+// How long, and how much, a peer may still send after the last answer.
+constexpr std::chrono::milliseconds linger_limit{200};
+constexpr std::size_t discarded_bytes = 2'048;
+constexpr int max_discarded = 64;
+
 } // namespace
 
 // One connection. Requests are numbered as they come; an answer waits in
@@ -70,6 +75,22 @@
     bool m_closing = false; ///< No further request is read.
 };
 
+// Reads on for a moment: closing with unread bytes would reset the connection,
+// and the peer could lose the last answer.
+awaitable<void> http_server::discard_rest(session& connection)
+{
+    connection.m_buffer.consume(connection.m_buffer.size());
+    connection.m_stream.expires_after(linger_limit);
+    beast::error_code ended;
+    for (int pieces = 0; pieces < max_discarded && !ended; ++pieces)
+    {
+        auto const [error, count] =
+            co_await connection.m_stream.async_read_some(
+                connection.m_buffer.prepare(discarded_bytes), no_throw);
+        ended = error;
+    }
+}
+
 http_server::http_server(
     asio::io_context& context, http_server_options options,
     http_handler handler, malformed_handler malformed)
@@ -242,6 +263,7 @@
     beast::error_code ignored;
     connection->m_stream.socket().shutdown(
         asio::ip::tcp::socket::shutdown_send, ignored);
+    co_await discard_rest(*connection);
     connection->m_stream.close();
     m_sessions.erase(connection);
 }
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -87,6 +87,7 @@
     awaitable<void> close_idle_loop();
     void take(asio::ip::tcp::socket socket);
     awaitable<void> serve(session_ptr connection);
+    static awaitable<void> discard_rest(session& connection);
     awaitable<bool> read_next(session_ptr const& connection);
     awaitable<void> answer(
         session_ptr connection, std::uint64_t place,
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -131,3 +131,15 @@
     test.m_ready["/1"] = true;
     CHECK_FALSE(test.read().empty());
 }
+
+TEST_CASE("a refusal reaches a caller that is still sending")
+{
+    fixture test;
+    test.m_server->set_limits({.m_max_header_bytes = 100}, 10s, 1s);
+    std::string const part = "GET / HTTP/1.1\r\nX: " + std::string(300, 'x');
+    asio::write(test.m_client, asio::buffer(part));
+    test.wait();
+    asio::write(test.m_client, asio::buffer(part));
+    test.wait();
+    CHECK(test.read().find(" 431 ") != std::string::npos);
+}
