A cold target's slowness is taken as it is reported

Cause: admission and placement doubled the reported slowness of cold targets. So gates refused as too late what would have been in time, in the seconds after all power is lost.

--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -71,7 +71,7 @@
     /// Recent failures among requests, 0 to 1.
     [[nodiscard]] double failure_share(time_point now) const noexcept;
 
-    /// Of the target, which is slower than its machine while it is cold.
+    /// As the target reports it, which covers that it is slower while cold.
     [[nodiscard]] routing::speed speed(time_point now) const noexcept;
 
     /// The instance that answered the last probe; empty before.
--- a/src/libhibiscustide/core/admission/target_health.cpp
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -11,9 +11,6 @@
 // Weight of one request in the share of failures.
 constexpr double outcome_weight = 0.2;
 
-// A cold target takes this many times as long as its machine would.
-constexpr std::uint32_t cold_factor = 2;
-
 } // namespace
 
 target_health::target_health(time_point now) noexcept
@@ -80,13 +77,7 @@
 
 routing::speed target_health::speed(time_point now) const noexcept
 {
-    auto forecast = m_speeds.forecast(now);
-    if (is_cold(now))
-    {
-        forecast.m_slowness *= cold_factor;
-        forecast.m_mean_slowness *= cold_factor;
-    }
-    return forecast;
+    return m_speeds.forecast(now);
 }
 
 std::string const& target_health::instance() const noexcept
