Work keeps the speed at which it begins: placement, waiting and repeats follow that

Cause: forecasts took work to go on at the mean once a slow spell was over. So the speed at the beginning holds to the end. Now: time_from_now, and best_wait: a gate begins work behind a slow spell where it ends earlier so; the wait for a slot comes from the expected ends of what runs; a run's forecast is fixed when it is sent.

--- a/src/include/hibiscustide/core/admission/admission_queue.hpp
+++ b/src/include/hibiscustide/core/admission/admission_queue.hpp
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <variant>
@@ -56,7 +57,9 @@
 /// their deadline. Urgent requests go first, displace others from a full queue
 /// and keep as many slots free as they have needed lately, so that they don't
 /// wait for long work of little urgency. What has become late while it waited
-/// gets slots that nothing else needs. Not thread-safe.
+/// gets slots that nothing else needs. While the target's machine is slow, work
+/// that ends earlier if it begins behind the slow spell waits for that. Not
+/// thread-safe.
 class admission_queue
 {
 public:
@@ -90,14 +93,20 @@
     /// Removes all waiting requests.
     [[nodiscard]] std::vector<std::uint64_t> take_all();
 
-    /// A running request of this usual work and priority has ended.
-    void end(duration work, std::uint32_t priority, time_point now) noexcept;
+    /// A running request has ended.
+    void end(std::uint64_t id, time_point now) noexcept;
 
     [[nodiscard]] std::uint32_t running() const noexcept;
     [[nodiscard]] std::uint32_t waiting() const noexcept;
     [[nodiscard]] std::uint32_t slots() const noexcept;
 
 private:
+    struct run
+    {
+        time_point m_ends_at{}; ///< Expected.
+        bool m_urgent = false;
+    };
+
     struct place
     {
         std::uint32_t m_priority = 0;
@@ -113,18 +122,20 @@
     [[nodiscard]] bool has_slot(place const& waiting) const noexcept;
     [[nodiscard]] std::uint32_t kept_slots() const noexcept;
     void track_need(time_point now) noexcept;
-    [[nodiscard]] duration wait_before(place const& mine) const;
+    [[nodiscard]] duration wait_before(place const& mine, time_point now) const;
     [[nodiscard]] bool is_in_time(
         place const& waiting, duration wait, time_point now) const;
-    void begin(place const& waiting);
+    [[nodiscard]] bool is_held(place const& waiting) const;
+    [[nodiscard]] time_point slot_free_at(
+        std::size_t ahead, duration work, time_point now) const;
+    void begin(place const& waiting, time_point now);
 
     std::uint32_t m_slots = 1;
     routing::speed m_speed;
     std::optional<double> m_cold_rate;
-    std::uint32_t m_running = 0;
-    duration m_running_work{};          ///< Usual work of what runs.
-    std::uint32_t m_least_urgent = 0;   ///< Greatest priority number seen.
-    std::uint32_t m_urgent_running = 0; ///< Of what runs.
+    std::map<std::uint64_t, run> m_runs; ///< What runs, by its id.
+    std::uint32_t m_least_urgent = 0;    ///< Greatest priority number seen.
+    std::uint32_t m_urgent_running = 0;  ///< Of what runs.
     double m_urgent_need = 0; ///< Urgent requests at the target lately.
     time_point m_tracked_at{};
     std::set<place> m_queue;
--- a/src/include/hibiscustide/core/retry/repeat.hpp
+++ b/src/include/hibiscustide/core/retry/repeat.hpp
@@ -3,38 +3,31 @@
 #ifndef HIBISCUSTIDE_CORE_RETRY_REPEAT_HPP
 #define HIBISCUSTIDE_CORE_RETRY_REPEAT_HPP
 
-#include <cstdint>
+#include <compare>
 
-#include <hibiscustide/core/routing/speed.hpp>
 #include <hibiscustide/core/time.hpp>
 
 namespace hibiscustide::core::retry
 {
 
-/// How far a request has come at its target, by the speed that the target
-/// reported while it ran. Not thread-safe.
-class progress
+/// A request at its target: when it is expected to end by the slowness that the
+/// target had when it began.
+struct run_forecast
 {
-public:
-    progress(duration usual_work, time_point began_at) noexcept;
+    time_point m_began_at{};
+    duration m_expected{}; ///< From its beginning to its end.
 
-    /// The target worked at this slowness, in percent, since the last call.
-    void advance(std::uint32_t slowness, time_point now) noexcept;
+    /// Expected times passed; 1 is when an answer is expected.
+    [[nodiscard]] double done(time_point now) const noexcept;
 
-    /// Usual work times done; 1 is when an answer is expected.
-    [[nodiscard]] double done() const noexcept;
-
-private:
-    duration m_usual_work;
-    time_point m_at;
-    double m_done = 0;
+    friend auto operator<=>(run_forecast const&, run_forecast const&) = default;
 };
 
 /// What is known of a running request and of the best other target.
 struct repeat_question
 {
-    double m_done = 0;       ///< See progress::done.
-    routing::speed m_speed;  ///< Of its target.
+    run_forecast m_run;
+    time_point m_now{};
     double m_other_cost = 1; ///< Expected at the other, in usual works.
     duration m_usual_work{};
     duration m_objective_left{}; ///< Until the answer is late.
--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -84,6 +84,11 @@
 /// The price of leaving the failure domain, in usual work times.
 inline constexpr double distance_cost = 0.5;
 
+/// Expected time that a request which is sent now stays at the target, for work
+/// that usually takes `usual_work`.
+[[nodiscard]] duration expected_stay(
+    target_view const& view, duration usual_work);
+
 /// Expected time to completion of work that usually takes `usual_work`, in
 /// usual work times.
 [[nodiscard]] double expected_cost(
--- a/src/include/hibiscustide/core/routing/speed.hpp
+++ b/src/include/hibiscustide/core/routing/speed.hpp
@@ -24,15 +24,29 @@
     friend auto operator<=>(speed const&, speed const&) = default;
 };
 
-/// Expected time for work that usually takes `usual`.
+/// Expected time for work that usually takes `usual` and begins now. Work keeps
+/// the speed at which it began.
+[[nodiscard]] duration time_from_now(
+    speed const& forecast, duration usual) noexcept;
+
+/// The same for work that begins after `wait`, wait not included.
+[[nodiscard]] duration time_after(
+    speed const& forecast, duration wait, duration usual) noexcept;
+
+/// How long to wait before the work is begun, so that it ends earliest: zero,
+/// or until the present slow spell is expected to end.
+[[nodiscard]] duration best_wait(
+    speed const& forecast, duration usual) noexcept;
+
+/// Expected time until work ends that begins when it is best, wait included.
 [[nodiscard]] duration expected_time(
     speed const& forecast, duration usual) noexcept;
 
 /// Learns from a target's reports how long its speeds last. Not thread-safe.
 ///
-/// Answers a neighbour's noise: work that outlasts a slow spell is not slower
-/// by the whole factor, so a slow target with free slots can beat a fast one
-/// with a queue.
+/// Answers a neighbour's noise: machines are slow for half a second at a time,
+/// and work that begins then stays slow to its end, while work that begins
+/// behind the spell does not.
 class speed_history
 {
 public:
--- a/src/libhibiscustide/core/admission/admission_queue.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue.cpp
@@ -7,7 +7,9 @@
 namespace hibiscustide::core::admission
 {
 
-using routing::expected_time;
+using routing::best_wait;
+using routing::time_after;
+using routing::time_from_now;
 
 namespace
 {
@@ -18,6 +20,9 @@
 // Kept beyond the mean, since the need varies.
 constexpr double need_margin = 1.2;
 
+// What runs beyond its expected end is expected to end after this time.
+constexpr std::chrono::milliseconds overdue_rest{30};
+
 // Requests a second.
 constexpr double least_cold_rate = 0.1;
 
@@ -54,12 +59,12 @@
     m_least_urgent = std::max(m_least_urgent, request.m_priority);
     track_need(now);
     bool const is_first = m_queue.empty() || mine < *m_queue.begin();
-    if (is_first && may_start && has_slot(mine))
+    if (is_first && may_start && has_slot(mine) && !is_held(mine))
     {
-        begin(mine);
+        begin(mine, now);
         return run_now{};
     }
-    auto const wait = wait_before(mine);
+    auto const wait = wait_before(mine, now);
     if (!is_in_time(mine, wait, now))
     {
         return refuse_request{
@@ -88,7 +93,8 @@
         m_queue.begin(), m_queue.end(),
         [this, now](place const& waiting)
         {
-            return has_slot(waiting) && is_in_time(waiting, duration{}, now);
+            return has_slot(waiting) && !is_held(waiting) &&
+                   is_in_time(waiting, duration{}, now);
         });
     if (chosen == m_queue.end())
     {
@@ -96,7 +102,8 @@
             m_queue.begin(), m_queue.end(),
             [this, now](place const& waiting)
             {
-                return has_slot(waiting) && waiting.m_deadline > now;
+                return has_slot(waiting) && !is_held(waiting) &&
+                       waiting.m_deadline > now;
             });
     }
     if (chosen == m_queue.end())
@@ -104,7 +111,7 @@
         return std::nullopt;
     }
     auto const id = chosen->m_id;
-    begin(*chosen);
+    begin(*chosen, now);
     m_queue.erase(chosen);
     return id;
 }
@@ -116,8 +123,10 @@
         m_queue,
         [&](place const& waiting)
         {
-            bool const is_late = now + expected_time(m_speed, waiting.m_work) >
-                                 waiting.m_deadline;
+            auto const wait = best_wait(m_speed, waiting.m_work);
+            bool const is_late =
+                now + wait + time_after(m_speed, wait, waiting.m_work) >
+                waiting.m_deadline;
             if (is_late)
             {
                 hopeless.push_back(waiting.m_id);
@@ -149,19 +158,20 @@
     return ids;
 }
 
-void admission_queue::end(
-    duration work, std::uint32_t priority, time_point now) noexcept
+void admission_queue::end(std::uint64_t id, time_point now) noexcept
 {
     track_need(now);
-    m_running -= m_running > 0 ? 1 : 0;
-    bool const was_urgent = priority < m_least_urgent;
-    m_urgent_running -= was_urgent && m_urgent_running > 0 ? 1 : 0;
-    m_running_work = std::max(duration{}, m_running_work - work);
+    auto const it = m_runs.find(id);
+    if (it != m_runs.end())
+    {
+        m_urgent_running -= it->second.m_urgent ? 1 : 0;
+        m_runs.erase(it);
+    }
 }
 
 std::uint32_t admission_queue::running() const noexcept
 {
-    return m_running;
+    return static_cast<std::uint32_t>(m_runs.size());
 }
 
 std::uint32_t admission_queue::waiting() const noexcept
@@ -183,9 +193,9 @@
 {
     if (is_urgent(waiting))
     {
-        return m_running < m_slots;
+        return running() < m_slots;
     }
-    return m_running + kept_slots() < m_slots;
+    return running() + kept_slots() < m_slots;
 }
 
 // Slots that stay free for urgent requests: what these need beyond those that
@@ -207,12 +217,10 @@
     m_tracked_at = now;
 }
 
-// A slot comes free each time that one of the running requests ends, which is
-// as often as there are slots in the time that one takes.
-duration admission_queue::wait_before(place const& mine) const
+duration admission_queue::wait_before(place const& mine, time_point now) const
 {
-    duration work = m_running_work / std::max<std::uint32_t>(m_running, 1);
-    double ahead = 1;
+    duration work{};
+    std::size_t ahead = 0;
     for (auto const& waiting : m_queue)
     {
         if (mine < waiting)
@@ -222,31 +230,69 @@
         work += waiting.m_work;
         ++ahead;
     }
-    auto const for_slot = expected_time(m_speed, work / m_slots);
-    if (!m_cold_rate)
+    auto wait = slot_free_at(ahead, work, now) - now;
+    if (m_cold_rate)
+    {
+        std::chrono::duration<double> const for_rate{
+            (static_cast<double>(ahead) + 1.0) /
+            std::max(*m_cold_rate, least_cold_rate)};
+        wait = std::max(wait, std::chrono::duration_cast<duration>(for_rate));
+    }
+    return is_held(mine) ? std::max(wait, best_wait(m_speed, mine.m_work))
+                         : wait;
+}
+
+// Slots come free when what runs ends, one after the other; who is further back
+// than there are slots waits for the work ahead as well.
+time_point admission_queue::slot_free_at(
+    std::size_t ahead, duration work, time_point now) const
+{
+    std::size_t const free = m_slots > running() ? m_slots - running() : 0;
+    if (ahead < free)
     {
-        return for_slot;
+        return now;
     }
-    std::chrono::duration<double> const for_rate{
-        ahead / std::max(*m_cold_rate, least_cold_rate)};
-    return std::max(for_slot, std::chrono::duration_cast<duration>(for_rate));
+    std::vector<time_point> ends;
+    ends.reserve(m_runs.size());
+    for (auto const& [id, each] : m_runs)
+    {
+        ends.push_back(std::max(each.m_ends_at, now + overdue_rest));
+    }
+    std::sort(ends.begin(), ends.end());
+    auto const position = ahead - free;
+    if (position < ends.size())
+    {
+        return ends[position];
+    }
+    return (ends.empty() ? now : ends.back()) +
+           time_after(
+               m_speed, ends.empty() ? duration{} : ends.back() - now,
+               work / m_slots);
+}
+
+// Whether the work ends earlier if it begins later.
+bool admission_queue::is_held(place const& waiting) const
+{
+    return best_wait(m_speed, waiting.m_work) > duration{};
 }
 
 bool admission_queue::is_in_time(
     place const& waiting, duration wait, time_point now) const
 {
-    auto const end = now + wait + expected_time(m_speed, waiting.m_work);
+    auto const end = now + wait + time_after(m_speed, wait, waiting.m_work);
     auto const limit = is_urgent(waiting)
                            ? waiting.m_deadline
                            : std::min(waiting.m_objective, waiting.m_deadline);
     return end <= limit;
 }
 
-void admission_queue::begin(place const& waiting)
+void admission_queue::begin(place const& waiting, time_point now)
 {
-    ++m_running;
-    m_urgent_running += is_urgent(waiting) ? 1 : 0;
-    m_running_work += waiting.m_work;
+    bool const urgent = is_urgent(waiting);
+    m_urgent_running += urgent ? 1 : 0;
+    m_runs[waiting.m_id] = {
+        .m_ends_at = now + time_from_now(m_speed, waiting.m_work),
+        .m_urgent = urgent};
 }
 
 } // namespace hibiscustide::core::admission
--- a/src/libhibiscustide/core/retry/repeat.cpp
+++ b/src/libhibiscustide/core/retry/repeat.cpp
@@ -15,30 +15,19 @@
 // Work varies: some takes only this part of the usual time.
 constexpr double quickest_share = 0.6;
 
+// What is overdue is expected to take this part of its expected time more.
+constexpr double least_rest = 0.1;
+
 // The second attempt must be earlier by this part of the usual work.
 constexpr double least_gain = 0.3;
 
 } // namespace
 
-progress::progress(duration usual_work, time_point began_at) noexcept
-    : m_usual_work{std::max<duration>(
-          usual_work, std::chrono::milliseconds{1})},
-      m_at{began_at}
-{
-}
-
-void progress::advance(std::uint32_t slowness, time_point now) noexcept
-{
-    std::chrono::duration<double> const passed = now - m_at;
-    std::chrono::duration<double> const usual = m_usual_work;
-    double const factor = std::max<std::uint32_t>(slowness, 20) / 100.0;
-    m_done += passed / usual / factor;
-    m_at = now;
-}
-
-double progress::done() const noexcept
+double run_forecast::done(time_point now) const noexcept
 {
-    return m_done;
+    std::chrono::duration<double> const expected =
+        std::max<duration>(m_expected, std::chrono::milliseconds{1});
+    return (now - m_began_at) / expected;
 }
 
 bool can_answer_in_time(
@@ -61,13 +50,13 @@
     {
         return false;
     }
-    if (question.m_done > lost_after)
+    double const done = question.m_run.done(question.m_now);
+    if (done > lost_after)
     {
         return true;
     }
-    seconds const missing = usual * std::max(0.1, 1.0 - question.m_done);
-    seconds const here = routing::expected_time(
-        question.m_speed, std::chrono::duration_cast<duration>(missing));
+    seconds const here =
+        seconds{question.m_run.m_expected} * std::max(least_rest, 1.0 - done);
     bool const misses = here > objective;
     bool const helps = there < objective;
     return misses && helps && there + usual * least_gain < here;
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -86,6 +86,21 @@
     return std::max<double>(reported, m_in_flight);
 }
 
+// Slots that a request would find taken, for each slot.
+static double beyond_slots(target_view const& view)
+{
+    double const slots = std::max<std::uint32_t>(view.report().m_slots, 1);
+    return std::max(0.0, view.load() + 1 - slots) / slots;
+}
+
+duration expected_stay(target_view const& view, duration usual_work)
+{
+    std::chrono::duration<double> const at_once =
+        expected_time(view.report().m_speed, usual_work);
+    return std::chrono::duration_cast<duration>(
+        at_once * (1.0 + beyond_slots(view)));
+}
+
 double expected_cost(placement_candidate const& candidate, duration usual_work)
 {
     auto const& view = *candidate.m_view;
@@ -96,9 +111,8 @@
     std::chrono::duration<double> const expected =
         expected_time(report.m_speed, usual_work);
     double const slowness = expected / usual;
-    double const load = view.load();
-    double const beyond = std::max(0.0, load + 1 - slots) / slots;
-    double cost = slowness * (1.0 + crowding * load / slots + beyond);
+    double cost =
+        slowness * (1.0 + crowding * view.load() / slots + beyond_slots(view));
     cost += failure_cost * report.m_failing / 100.0;
     return cost + (candidate.m_same_domain ? 0.0 : distance_cost);
 }
--- a/src/libhibiscustide/core/routing/speed.cpp
+++ b/src/libhibiscustide/core/routing/speed.cpp
@@ -21,27 +21,48 @@
 // Time over which the mean forgets.
 constexpr seconds mean_time{4.0};
 
-// A spell that has outlasted the mean is expected to go on for this part of it.
+// A spell that has outlasted the mean is expected to go on for this part of
+// the mean, and at least for this part of its age.
 constexpr int least_rest_divisor = 4;
+constexpr int age_rest_divisor = 2;
 
 constexpr double least_slowness = 20;
 
 } // namespace
 
-duration expected_time(speed const& forecast, duration usual) noexcept
+static duration at_slowness(double slowness, duration usual) noexcept
 {
-    double const now =
-        std::max<double>(forecast.m_slowness, least_slowness) / 100.0;
-    double const mean =
-        std::max<double>(forecast.m_mean_slowness, least_slowness) / 100.0;
-    seconds const lasts = milliseconds{forecast.m_lasts_ms};
-    seconds const work = usual;
-    seconds const done = lasts / now;
     seconds const time =
-        work <= done ? work * now : lasts + (work - done) * mean;
+        seconds{usual} * std::max(slowness, least_slowness) / 100.0;
     return std::chrono::duration_cast<duration>(time);
 }
 
+duration time_from_now(speed const& forecast, duration usual) noexcept
+{
+    return at_slowness(forecast.m_slowness, usual);
+}
+
+duration time_after(
+    speed const& forecast, duration wait, duration usual) noexcept
+{
+    bool const is_same = wait < milliseconds{forecast.m_lasts_ms};
+    return at_slowness(
+        is_same ? forecast.m_slowness : forecast.m_mean_slowness, usual);
+}
+
+duration best_wait(speed const& forecast, duration usual) noexcept
+{
+    duration const rest = milliseconds{forecast.m_lasts_ms};
+    auto const later = rest + at_slowness(forecast.m_mean_slowness, usual);
+    return later < time_from_now(forecast, usual) ? rest : duration{};
+}
+
+duration expected_time(speed const& forecast, duration usual) noexcept
+{
+    auto const wait = best_wait(forecast, usual);
+    return wait + time_after(forecast, wait, usual);
+}
+
 void speed_history::on_report(std::uint32_t slowness, time_point now) noexcept
 {
     double const next = std::max<double>(slowness, least_slowness);
@@ -73,8 +94,8 @@
 speed speed_history::forecast(time_point now) const noexcept
 {
     auto const age = now - m_changed_at;
-    auto const rest =
-        std::max<duration>(m_lasts - age, m_lasts / least_rest_divisor);
+    auto const rest = std::max<duration>(
+        {m_lasts - age, m_lasts / least_rest_divisor, age / age_rest_divisor});
     auto const rest_ms = std::chrono::duration_cast<milliseconds>(rest);
     return {
         .m_slowness = static_cast<std::uint32_t>(m_slowness),
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -99,14 +99,6 @@
         finish(m_last_failure.value_or(late), std::nullopt);
         return;
     }
-    for (auto& each : m_attempts)
-    {
-        if (!each.m_ended)
-        {
-            each.m_progress.advance(
-                each.m_node->m_view.report().m_speed.m_slowness, now);
-        }
-    }
     if (m_place_again_at && now >= *m_place_again_at)
     {
         m_place_again_at.reset();
@@ -172,7 +164,10 @@
     auto const which = m_attempts.size();
     m_attempts.push_back(
         {.m_node = node,
-         .m_progress = core::retry::progress{m_options.m_usual_work, now}});
+         .m_run = {
+             .m_began_at = now,
+             .m_expected = core::routing::expected_stay(
+                 node->m_view, m_options.m_usual_work)}});
     auto const weak = weak_from_this();
     auto done = [weak, node, which](run_result result)
     {
@@ -201,7 +196,6 @@
     }
     auto const now = clock_now();
     auto& node = *ended.m_node;
-    ended.m_progress.advance(node.m_view.report().m_speed.m_slowness, now);
     m_reached += result.m_reached_target ? 1 : 0;
     m_ran += result.m_outcome == outcome::not_run ? 0 : 1;
     if (result.m_outcome == outcome::answered)
@@ -295,8 +289,8 @@
             return !each.m_ended;
         });
     core::retry::repeat_question const question{
-        .m_done = it->m_progress.done(),
-        .m_speed = it->m_node->m_view.report().m_speed,
+        .m_run = it->m_run,
+        .m_now = now,
         .m_other_cost = best_other_cost(now),
         .m_usual_work = m_options.m_usual_work,
         .m_objective_left = m_options.m_objective - now,
@@ -310,8 +304,8 @@
         event::attempt_repeated,
         {{"request", m_options.m_request.m_attempt},
          {"slow_node", it->m_node->m_address},
-         {"done", question.m_done},
-         {"slowness", static_cast<std::int64_t>(question.m_speed.m_slowness)},
+         {"done", question.m_run.done(now)},
+         {"expected_ms", to_milliseconds(question.m_run.m_expected).count()},
          {"other_cost", question.m_other_cost}});
     m_environment.m_counts.add(counter::retries);
     m_failed.push_back(it->m_node.get());
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -76,7 +76,7 @@
     {
         neighbour_ptr m_node;
         std::uint64_t m_id = 0;
-        core::retry::progress m_progress;
+        core::retry::run_forecast m_run;
         bool m_ended = false;
     };
 
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -243,13 +243,6 @@
     auto const exchanged = co_await m_probe_pool.exchange(
         request, clock_now() + probe_limit, nullptr);
     auto const now = clock_now();
-    for (auto const& [id, item] : m_work)
-    {
-        if (item->m_progress)
-        {
-            item->m_progress->advance(before.m_speed.m_slowness, now);
-        }
-    }
     if (auto const* const response = std::get_if<http_response>(&exchanged))
     {
         auto const answer = m_wire.m_read_health(*response);
@@ -282,6 +275,7 @@
             {{"target", m_entry ? m_entry->m_instance : ""},
              {"because", "probe"}});
     }
+    m_queue.set_speed(m_health.speed(now));
     for (auto const late : m_queue.take_hopeless(now))
     {
         refuse_waiting(late, core::reason::deadline_passed);
@@ -297,7 +291,7 @@
 {
     item->m_running = true;
     item->m_started_at = clock_now();
-    item->m_progress.emplace(std::chrono::seconds{1}, item->m_started_at);
+    item->m_slowness = m_health.speed(item->m_started_at).m_slowness;
     asio::co_spawn(
         m_context,
         [this, item]() -> awaitable<void>
@@ -344,8 +338,7 @@
 
 void target_gate::end_slot(work const& item)
 {
-    m_queue.end(
-        usual_work(item.m_request), item.m_request.m_priority, clock_now());
+    m_queue.end(item.m_ticket, clock_now());
 }
 
 void target_gate::refuse_waiting(ticket which, core::reason why)
@@ -382,7 +375,7 @@
         auto const it = m_work.find(*id);
         if (it == m_work.end())
         {
-            m_queue.end({}, 0, now);
+            m_queue.end(*id, now);
             continue;
         }
         auto const item = it->second;
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -17,7 +17,6 @@
 #include <hibiscustide/core/admission/cold_rate.hpp>
 #include <hibiscustide/core/admission/target_health.hpp>
 #include <hibiscustide/core/directory/directory.hpp>
-#include <hibiscustide/core/retry/repeat.hpp>
 #include <hibiscustide/core/routing/placement.hpp>
 
 #include "net/call_scope.hpp"
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -18,12 +18,18 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned http_1_1 = 11;
-constexpr double microseconds_per_second = 1e6;
 
 // A request that can't be repeated goes only over a connection that has been
 // used so lately that the target has not dropped it.
 constexpr milliseconds fresh_enough{1'000};
 
+// What the work would have taken at the target's usual speed.
+std::int64_t at_usual_speed_us(core::duration took, std::uint32_t slowness)
+{
+    auto const us = std::chrono::duration_cast<std::chrono::microseconds>(took);
+    return us.count() * 100 / std::max<std::uint32_t>(slowness, 1);
+}
+
 milliseconds left_until(core::time_point deadline)
 {
     auto const left = deadline - clock_now();
@@ -41,8 +47,6 @@
                                         : core::duration{fresh_enough};
     auto exchanged = co_await m_pool.exchange(
         request, item->m_deadline, &item->m_scope, max_idle);
-    auto const now = clock_now();
-    item->m_progress->advance(m_health.speed(now).m_slowness, now);
     finish(item, to_result(*item, std::move(exchanged)));
 }
 
@@ -120,13 +124,13 @@
     note_outcome(
         item,
         status >= 500 ? target_outcome::failed : target_outcome::answered);
-    m_counts.observe_target(clock_now() - item.m_started_at);
+    auto const took = clock_now() - item.m_started_at;
+    m_counts.observe_target(took);
     run_result result{
         .m_outcome = outcome::answered,
         .m_reached_target = true,
         .m_status = status,
-        .m_work_us = static_cast<std::int64_t>(
-            item.m_progress->done() * microseconds_per_second)};
+        .m_work_us = at_usual_speed_us(took, item.m_slowness)};
     headers::remove_hop_by_hop(response);
     for (auto const& entry : response)
     {
--- a/src/libhibiscustide/net/mesh/target_gate_work.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate_work.hpp
@@ -4,7 +4,7 @@
 #define HIBISCUSTIDE_NET_MESH_TARGET_GATE_WORK_HPP
 
 #include <chrono>
-#include <optional>
+#include <cstdint>
 
 #include "net/mesh/target_gate.hpp"
 
@@ -24,7 +24,7 @@
     core::time_point m_objective;
     core::time_point m_started_at{};
     call_scope m_scope;
-    std::optional<core::retry::progress> m_progress; ///< Once it runs.
+    std::uint32_t m_slowness = 100; ///< Of the target when it began, percent.
     bool m_running = false;
     bool m_cancelled = false;
 };
