--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -3,6 +3,7 @@
 #ifndef HIBISCUSTIDE_CORE_ROUTING_PLACEMENT_HPP
 #define HIBISCUSTIDE_CORE_ROUTING_PLACEMENT_HPP
 
+#include <chrono>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -36,6 +37,9 @@
 class target_view
 {
 public:
+    /// A node that has told nothing for this long may not be there any more.
+    static constexpr std::chrono::milliseconds silent_after{3'500};
+
     /// A report with a higher sequence number replaces the one before.
     void on_report(
         target_report const& report, std::uint64_t sequence, time_point now);
@@ -57,6 +61,10 @@
     void on_answered() noexcept;
 
     [[nodiscard]] bool is_left_out(time_point now) const noexcept;
+
+    /// Whether its node has told nothing, or nothing lately.
+    [[nodiscard]] bool is_silent(time_point now) const noexcept;
+
     [[nodiscard]] target_report const& report() const noexcept;
     [[nodiscard]] time_point reported_at() const noexcept;
 
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -69,6 +69,12 @@
     return now < m_left_out_until;
 }
 
+bool target_view::is_silent(time_point now) const noexcept
+{
+    bool const is_heard = m_reported_at != time_point{};
+    return !is_heard || now - m_reported_at > silent_after;
+}
+
 target_report const& target_view::report() const noexcept
 {
     return m_report;
@@ -121,8 +127,8 @@
     std::span<placement_candidate const> candidates, duration usual_work,
     std::size_t tie, time_point now)
 {
-    // Targets that are left out or say that they take nothing come behind the
-    // others, whatever they would cost.
+    // Targets that are left out, silent or say that they take nothing come
+    // behind the others, whatever they would cost.
     constexpr double behind = 1e6;
     std::optional<std::size_t> best;
     double least = std::numeric_limits<double>::max();
@@ -138,7 +144,9 @@
         bool const takes_work =
             report.m_open && (!report.m_cold || report.m_cold_left > 0);
         double cost = expected_cost(candidate, usual_work);
-        cost += candidate.m_view->is_left_out(now) ? behind : 0.0;
+        bool const may_be_gone = candidate.m_view->is_left_out(now) ||
+                                 candidate.m_view->is_silent(now);
+        cost += may_be_gone ? behind : 0.0;
         cost += takes_work ? 0.0 : behind;
         if (cost < least)
         {
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -110,6 +110,26 @@
     CHECK_FALSE(choose({{.m_view = &closed, .m_excluded = true}}).has_value());
 }
 
+// All VMs come back after a loss of power: some nodes are up, others not yet.
+TEST_CASE("a target whose node has said nothing comes behind those that have")
+{
+    routing::target_view const unheard;
+    auto const slow = make_view(make_report(5, 700));
+    std::vector<routing::placement_candidate> const both{
+        {.m_view = &unheard}, {.m_view = &slow}};
+    CHECK(choose(both) == 1);
+    CHECK(choose({{.m_view = &unheard}}) == 0);
+    // A node tells its load every second or so, whatever happens.
+    auto const silent = make_view(make_report(0));
+    auto const later = start + routing::target_view::silent_after + 1ms;
+    auto busy = make_view(make_report(5));
+    busy.on_report(make_report(5), 2, later);
+    std::vector<routing::placement_candidate> const old_and_new{
+        {.m_view = &silent}, {.m_view = &busy}};
+    CHECK(choose(old_and_new) == 0);
+    CHECK(choose(old_and_new, 0, later) == 1);
+}
+
 TEST_CASE("equal targets are chosen in turn by the tie")
 {
     auto const one = make_view(make_report(0));
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -383,6 +383,7 @@
             });
         bool const is_out = is_used || !report.m_open ||
                             node->m_view.is_left_out(now) ||
+                            node->m_view.is_silent(now) ||
                             (report.m_cold && report.m_cold_left == 0);
         if (!is_out)
         {
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -185,7 +185,7 @@
     auto const now = clock_now();
     bool const is_open = !m_leaving && m_entry &&
                          m_directory->is_in_service(*m_entry) &&
-                         m_health.is_up(now);
+                         is_entry_of_target() && m_health.is_up(now);
     bool const cold = m_health.is_cold(now);
     return {
         .m_running = m_queue.running(),
@@ -447,6 +447,10 @@
     {
         return core::reason::withdrawn;
     }
+    if (!is_entry_of_target())
+    {
+        return core::reason::withdrawn;
+    }
     if (!m_health.is_up(clock_now()))
     {
         return core::reason::target_down;
@@ -454,4 +458,12 @@
     return std::nullopt;
 }
 
+// A target that has started anew registers a moment later; until then the entry
+// is that of its predecessor.
+bool target_gate::is_entry_of_target() const
+{
+    auto const& answering = m_health.instance();
+    return answering.empty() || answering == m_entry->m_instance;
+}
+
 } // namespace hibiscustide::net::mesh
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -95,6 +95,7 @@
     void refuse_waiting(ticket which, core::reason why);
     void pump();
     void update_entry();
+    [[nodiscard]] bool is_entry_of_target() const;
     [[nodiscard]] std::optional<core::reason> closed_for(
         run_request const& request) const;
     [[nodiscard]] http_request to_http(work const& item) const;
