A node uses half of its share of second attempts and 0.4 of the slack

With x for all second attempts and r for repeats the bound is (x + r) of the requests; x = 0.10 and r = 0.06 leave a fifth of it.

--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -24,8 +24,8 @@
 // What a node uses of its share of second attempts: calls that a repeated
 // request makes count too, and a node that starts anew has forgotten what it
 // spent.
-constexpr double used_retry_share = 0.6;
-constexpr double used_slack_share = 0.6;
+constexpr double used_retry_share = 0.5;
+constexpr double used_slack_share = 0.4;
 
 // A peer that was asked for changes has this long before another is.
 constexpr milliseconds ask_interval{150};
