--- a/src/libhibiscustide/core/routing/speed.cpp
+++ b/src/libhibiscustide/core/routing/speed.cpp
@@ -28,6 +28,9 @@
 
 constexpr double least_slowness = 20;
 
+// The first report may come from a slow spell, which says little of the mean.
+constexpr double first_mean = 150;
+
 } // namespace
 
 static duration at_slowness(double slowness, duration usual) noexcept
@@ -69,7 +72,7 @@
     if (m_reported_at == time_point{})
     {
         m_slowness = next;
-        m_mean = next;
+        m_mean = std::min(next, first_mean);
         m_changed_at = now;
         m_reported_at = now;
         return;
--- a/src/libhibiscustide/core/routing/speed_test.cpp
+++ b/src/libhibiscustide/core/routing/speed_test.cpp
@@ -89,6 +89,14 @@
     CHECK(fresh.m_lasts_ms < 1'800);
 }
 
+TEST_CASE("a first report from a slow spell is not taken for the mean")
+{
+    routing::speed_history history;
+    history.on_report(1'400, start);
+    CHECK(to_ms(best_wait(history.forecast(start), 160ms)) > 0);
+    CHECK(to_ms(expected_time(history.forecast(start), 160ms)) < 1'000);
+}
+
 TEST_CASE("small changes continue the spell")
 {
     routing::speed_history history;
