A target that starts anew is used before it registers, where its address can't have changed hands

An instance that answers at the target's address within the address reuse time of the one before it (or of the start of the node, which had its settings anew) belongs to the same service; requests name the instance, so another one refuses them.

--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -48,7 +48,10 @@
     /// How long a share of failures takes to halve when nothing is sent.
     static constexpr std::chrono::milliseconds failure_half_life{1'500};
 
-    explicit target_health(time_point now) noexcept;
+    /// `address_reuse` is the least time from a target's end until its address
+    /// may belong to another service.
+    explicit target_health(
+        time_point now, duration address_reuse = {}) noexcept;
 
     /// A probe was answered. Gives whether the target has turned cold or
     /// started anew.
@@ -74,6 +77,11 @@
     /// As the target reports it, which covers that it is slower while cold.
     [[nodiscard]] routing::speed speed(time_point now) const noexcept;
 
+    /// Whether the present instance surely belongs to the same service as the
+    /// one before it, or as the settings say where it is the first: it answered
+    /// before the address could have passed to another service.
+    [[nodiscard]] bool is_successor() const noexcept;
+
     /// The instance that answered the last probe; empty before.
     [[nodiscard]] std::string const& instance() const noexcept;
 
@@ -84,7 +92,9 @@
     time_point m_failed_at{};
     time_point m_cold_until{};
     std::optional<time_point> m_answered_at;
+    duration m_address_reuse{};
     bool m_refused = false;
+    bool m_is_successor = false;
     double m_failures = 0;
 };
 
--- a/src/libhibiscustide/core/admission/target_health.cpp
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-target_health::target_health(time_point now) noexcept
-    : m_started_at{now}
+target_health::target_health(time_point now, duration address_reuse) noexcept
+    : m_started_at{now},
+      m_address_reuse{address_reuse}
 {
 }
 
@@ -25,6 +26,9 @@
         !answer.m_instance.empty() && answer.m_instance != m_instance;
     if (is_new)
     {
+        // The settings were written when this process started.
+        auto const known_at = m_answered_at.value_or(m_started_at);
+        m_is_successor = now - known_at < m_address_reuse;
         m_instance = answer.m_instance;
         m_failures = 0;
     }
@@ -80,6 +84,11 @@
     return m_speeds.forecast(now);
 }
 
+bool target_health::is_successor() const noexcept
+{
+    return m_is_successor;
+}
+
 std::string const& target_health::instance() const noexcept
 {
     return m_instance;
--- a/src/libhibiscustide/core/admission/target_health_test.cpp
+++ b/src/libhibiscustide/core/admission/target_health_test.cpp
@@ -71,6 +71,25 @@
     CHECK(health.failure_share(now + 10s) < 0.05);
 }
 
+// All power is lost and comes back: targets answer a second before they
+// register.
+TEST_CASE("an instance that answers soon enough succeeds the one before it")
+{
+    target_health health{start, 2s};
+    health.on_probe({.m_instance = "i-1"}, start + 500ms);
+    CHECK(health.is_successor());
+    health.on_probe({.m_instance = "i-2"}, start + 2'400ms);
+    CHECK(health.is_successor());
+    health.on_probe({.m_instance = "i-3"}, start + 4'400ms);
+    CHECK_FALSE(health.is_successor());
+    target_health late{start, 2s};
+    late.on_probe({.m_instance = "i-1"}, start + 2s);
+    CHECK_FALSE(late.is_successor());
+    target_health unknown{start};
+    unknown.on_probe({.m_instance = "i-1"}, start);
+    CHECK_FALSE(unknown.is_successor());
+}
+
 TEST_CASE("what a cold target reports holds its own slowness already")
 {
     target_health health{start};
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -17,6 +17,7 @@
 
 constexpr bounds<std::uint64_t> probe_ms_bounds{5, 10'000};
 constexpr bounds<std::uint64_t> window_s_bounds{1, 3'600};
+constexpr bounds<std::uint64_t> reuse_s_bounds{0, 3'600};
 constexpr bounds<std::uint64_t> stop_ms_bounds{0, 600'000};
 constexpr bounds<std::uint64_t> port_bounds{1, 65'535};
 constexpr bounds<double> ratio_bounds{0.0, 1.0};
@@ -94,6 +95,8 @@
             "--probe-interval-ms", text.m_probe_interval_ms, probe_ms_bounds)},
         .m_cold_overage =
             check.share("--cold-overage", text.m_cold_overage, overage_bounds),
+        .m_address_reuse = std::chrono::seconds{check.count(
+            "--address-reuse-s", text.m_address_reuse_s, reuse_s_bounds)},
         .m_retry_ratio =
             check.share("--retry-ratio", text.m_retry_ratio, ratio_bounds),
         .m_retry_window = std::chrono::seconds{check.count(
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -55,7 +55,7 @@
           {.m_remote = m_options.m_target, .m_idle_limit = probe_idle_limit}},
       m_probe_timer{context},
       m_directory{std::make_shared<core::directory::directory const>()},
-      m_health{clock_now()}
+      m_health{clock_now(), m_options.m_address_reuse}
 {
 }
 
@@ -410,6 +410,13 @@
     {
         return;
     }
+    // A target that has started anew registers a moment later.
+    bool const is_known = m_directory->find(m_health.instance()) != nullptr;
+    if (!is_known && !is_entry_of_target() && m_health.is_successor() &&
+        m_entry->m_service == m_options.m_service)
+    {
+        m_entry->m_instance = m_health.instance();
+    }
     m_queue.set_slots(m_entry->m_slots);
     auto const* const service = core::directory::find_service(
         m_directory->config(), m_entry->m_service);
@@ -458,8 +465,7 @@
     return std::nullopt;
 }
 
-// A target that has started anew registers a moment later; until then the entry
-// is that of its predecessor.
+// The entry of a predecessor says nothing of the target that answers now.
 bool target_gate::is_entry_of_target() const
 {
     auto const& answering = m_health.instance();
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -33,7 +33,10 @@
 {
     core::endpoint m_target;
     std::chrono::milliseconds m_probe_interval{40};
+    std::string m_service;       ///< Of the target, by the settings.
     double m_cold_overage = 1.0; ///< Of what a cold target says it bears.
+    /// See core::admission::target_health.
+    core::duration m_address_reuse{};
 };
 
 /// Takes requests from this node and from others, and runs them at the target
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -57,7 +57,9 @@
           m_context,
           {.m_target = settings.m_target,
            .m_probe_interval = settings.m_probe_interval,
-           .m_cold_overage = settings.m_cold_overage},
+           .m_service = settings.m_service,
+           .m_cold_overage = settings.m_cold_overage,
+           .m_address_reuse = settings.m_address_reuse},
           wire,
           counts},
       m_dispatcher{
