--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -31,6 +31,7 @@
     std::string m_log_level = "info";
     std::string m_probe_interval_ms = "40";
     std::string m_cold_overage = "1";
+    std::string m_cold_slack = "0";
     std::string m_address_reuse_s = "0";
     std::string m_retry_ratio = "0.2";
     std::string m_retry_window_s = "10";
@@ -55,6 +56,7 @@
     std::string m_log_level;
     std::chrono::milliseconds m_probe_interval{40};
     double m_cold_overage = 1;  ///< Borne above a cold target's published rate.
+    double m_cold_slack = 0; ///< Requests on top of that in any one second.
     /// A target's address passes to another service no sooner than this after
     /// its end.
     std::chrono::seconds m_address_reuse{0};
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -95,6 +95,8 @@
             "--probe-interval-ms", text.m_probe_interval_ms, probe_ms_bounds)},
         .m_cold_overage =
             check.share("--cold-overage", text.m_cold_overage, overage_bounds),
+        .m_cold_slack =
+            check.share("--cold-slack", text.m_cold_slack, slack_bounds),
         .m_address_reuse = std::chrono::seconds{check.count(
             "--address-reuse-s", text.m_address_reuse_s, reuse_s_bounds)},
         .m_retry_ratio =
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -28,9 +28,6 @@
 constexpr milliseconds probe_limit{400};
 constexpr milliseconds probe_idle_limit{5'000};
 
-// Kept back of what a cold target bears above its rate.
-constexpr double used_overage_share = 0.9;
-
 } // namespace
 
 target_gate::target_gate(
@@ -88,7 +85,7 @@
     m_queue.set_speed(m_health.speed(now));
     bool const is_cold = m_health.is_cold(now);
     m_queue.set_cold_rate(
-        is_cold ? std::optional{m_cold_per_second} : std::nullopt);
+        is_cold ? std::optional{m_cold.per_second()} : std::nullopt);
     bool const may_start = !is_cold || m_cold.left(now) > 0;
     auto const decision = m_queue.enter(entry, may_start, now);
     if (auto const* const refused =
@@ -249,7 +246,7 @@
         auto const previous = m_health.instance();
         if (m_health.on_probe(answer, now))
         {
-            m_cold.start(m_cold_per_second, now);
+            m_cold.start(now);
             log_event(
                 event::target_cold,
                 {{"target", answer.m_instance},
@@ -425,8 +422,9 @@
         return;
     }
     m_health_path = service->m_health_path;
-    m_cold_per_second =
-        service->m_cold_rate * m_options.m_cold_overage * used_overage_share;
+    m_cold.set_bound(
+        service->m_cold_rate * m_options.m_cold_overage +
+        m_options.m_cold_slack);
     m_pool.limit(std::max<std::uint32_t>(service->m_max_connections, 4) - 3);
     auto const is_open = report().m_open;
     if (was_open != is_open && m_on_change)
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -35,6 +35,7 @@
     std::chrono::milliseconds m_probe_interval{40};
     std::string m_service;       ///< Of the target, by the settings.
     double m_cold_overage = 1.0; ///< Of what a cold target says it bears.
+    double m_cold_slack = 0.0; ///< On top of that in any one second.
     /// See core::admission::target_health.
     core::duration m_address_reuse{};
 };
@@ -116,7 +117,6 @@
     core::directory::directory_ptr m_directory;
     std::optional<core::directory::target> m_entry;
     std::string m_health_path;
-    double m_cold_per_second = 0;
     core::admission::admission_queue m_queue;
     core::admission::cold_rate m_cold;
     core::admission::target_health m_health;
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -59,6 +59,7 @@
            .m_probe_interval = settings.m_probe_interval,
            .m_service = settings.m_service,
            .m_cold_overage = settings.m_cold_overage,
+           .m_cold_slack = settings.m_cold_slack,
            .m_address_reuse = settings.m_address_reuse},
           wire,
           counts},
