--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -77,7 +77,11 @@
     /// As the target reports it, which covers that it is slower while cold.
     [[nodiscard]] routing::speed speed(time_point now) const noexcept;
 
-    /// Whether the present instance surely belongs to the same service as the
+    /// The present instance is registered: from now on its entry alone tells
+    /// whether it may be used.
+    void on_registered() noexcept;
+
+    /// Whether the present instance, not registered yet, surely belongs to the same service as the
     /// one before it, or as the settings say where it is the first: it answered
     /// before the address could have passed to another service.
     [[nodiscard]] bool is_successor() const noexcept;
--- a/src/libhibiscustide/core/admission/target_health.cpp
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -84,6 +84,11 @@
     return m_speeds.forecast(now);
 }
 
+void target_health::on_registered() noexcept
+{
+    m_is_successor = false;
+}
+
 bool target_health::is_successor() const noexcept
 {
     return m_is_successor;
--- a/src/libhibiscustide/core/admission/target_health_test.cpp
+++ b/src/libhibiscustide/core/admission/target_health_test.cpp
@@ -82,6 +82,12 @@
     CHECK(health.is_successor());
     health.on_probe({.m_instance = "i-3"}, start + 4'400ms);
     CHECK_FALSE(health.is_successor());
+    // Its entry comes and goes again: it leaves.
+    health.on_probe({.m_instance = "i-4"}, start + 5s);
+    CHECK(health.is_successor());
+    health.on_registered();
+    health.on_probe({.m_instance = "i-4"}, start + 5'040ms);
+    CHECK_FALSE(health.is_successor());
     target_health late{start, 2s};
     late.on_probe({.m_instance = "i-1"}, start + 2s);
     CHECK_FALSE(late.is_successor());
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -402,15 +402,17 @@
     {
         entry = answering;
     }
+    if (answering != nullptr)
+    {
+        m_health.on_registered();
+    }
     m_entry = entry == nullptr ? std::nullopt : std::optional{*entry};
     if (!m_entry)
     {
         return;
     }
     // A target that has started anew registers a moment later.
-    bool const is_known = m_directory->find(m_health.instance()) != nullptr;
-    if (!is_known && !is_entry_of_target() && m_health.is_successor() &&
-        m_entry->m_service == m_options.m_service)
+    if (m_health.is_successor() && m_entry->m_service == m_options.m_service)
     {
         m_entry->m_instance = m_health.instance();
     }
