--- a/src/include/hibiscustide/core/directory/directory.hpp
+++ b/src/include/hibiscustide/core/directory/directory.hpp
@@ -82,6 +82,10 @@
     /// The publishing service has been away until now.
     void service_returned(time_point now) noexcept;
 
+    /// A peer says that it has been away until lately. Peers say so for a
+    /// while, so their word does not move a return that is known.
+    void peer_told_of_return(time_point now) noexcept;
+
     /// Ends graces that are over. Gives when the next one ends.
     std::optional<time_point> expire(time_point now);
 
--- a/src/libhibiscustide/core/directory/directory.cpp
+++ b/src/libhibiscustide/core/directory/directory.cpp
@@ -121,6 +121,14 @@
     m_returned_at = now;
 }
 
+void directory_state::peer_told_of_return(time_point now) noexcept
+{
+    if (!m_returned_at || now - *m_returned_at > return_grace)
+    {
+        m_returned_at = now;
+    }
+}
+
 std::optional<time_point> directory_state::expire(time_point now)
 {
     std::optional<time_point> next;
--- a/src/libhibiscustide/core/directory/directory_test.cpp
+++ b/src/libhibiscustide/core/directory/directory_test.cpp
@@ -72,6 +72,23 @@
     CHECK(state.view()->find("i-2") == nullptr);
 }
 
+// A reader was turned away for a while and says so for 1.5 s after; a target's
+// entry goes meanwhile, for good.
+TEST_CASE("the word of peers does not prolong a return that is known")
+{
+    directory::directory_state state;
+    state.put(make_target("i-1"));
+    for (auto now = start; now < start + 1'500ms; now += 100ms)
+    {
+        state.peer_told_of_return(now);
+    }
+    state.remove("i-1", start + 1'500ms);
+    state.expire(start + 2'250ms);
+    CHECK(state.view()->find("i-1") != nullptr);
+    state.expire(start + 2'300ms);
+    CHECK(state.view()->find("i-1") == nullptr);
+}
+
 TEST_CASE("a withdrawn failure domain gets nothing until it is restored")
 {
     directory::directory_state state;
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -27,6 +27,9 @@
 // replaced in time.
 constexpr milliseconds watch_wait{2'500};
 
+// After a failure, so that the return is noticed when it happens.
+constexpr milliseconds return_check{50};
+
 // A reader is one whose service has answered within this time.
 constexpr milliseconds reads_for{3'300};
 
@@ -76,9 +79,9 @@
     return m_duty.is_outranked_by(address);
 }
 
-void directory_sync::on_service_returned()
+void directory_sync::on_peer_told_of_return()
 {
-    m_state.service_returned(clock_now());
+    m_state.peer_told_of_return(clock_now());
 }
 
 void directory_sync::on_changes(core::directory::item_changes const& changes)
@@ -121,7 +124,8 @@
         }
         else
         {
-            read = co_await m_from.m_watch(m_replica.revision(), watch_wait);
+            auto const wait = m_failures > 0 ? return_check : watch_wait;
+            read = co_await m_from.m_watch(m_replica.revision(), wait);
         }
         if (auto const* const changes =
                 std::get_if<core::directory::item_changes>(&read))
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -59,7 +59,7 @@
         std::string const& address) const noexcept;
 
     /// A peer says that the service was away until lately.
-    void on_service_returned();
+    void on_peer_told_of_return();
 
     /// A peer sent what was published.
     void on_changes(core::directory::item_changes const& changes);
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -162,7 +162,7 @@
                     }
                     if (is_return)
                     {
-                        m_directory.on_service_returned();
+                        m_directory.on_peer_told_of_return();
                     }
                 });
         },
