In a large fleet a node tells its changes to twelve distant nodes, and to the others now and then

Followers are chosen by a hash that both ends know; who is none takes a report's speed for the mean once the present spell is over.

--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -40,9 +40,11 @@
     /// A node that has told nothing for this long may not be there any more.
     static constexpr std::chrono::milliseconds silent_after{3'500};
 
-    /// A report with a higher sequence number replaces the one before.
+    /// A report with a higher sequence number replaces the one before. Where
+    /// the node tells of each change, silence means that nothing has changed.
     void on_report(
-        target_report const& report, std::uint64_t sequence, time_point now);
+        target_report const& report, std::uint64_t sequence, time_point now,
+        bool tells_changes = true);
 
     /// The report of the own target, which is never old.
     void on_own_report(target_report const& report, time_point now);
@@ -68,6 +70,9 @@
     [[nodiscard]] target_report const& report() const noexcept;
     [[nodiscard]] time_point reported_at() const noexcept;
 
+    /// The reported speed, as far as it still holds.
+    [[nodiscard]] speed speed_at(time_point now) const noexcept;
+
     /// Requests believed to be at the target.
     [[nodiscard]] double load() const noexcept;
 
@@ -79,6 +84,7 @@
     std::uint32_t m_in_flight = 0;
     std::uint32_t m_sent_since_report = 0;
     std::uint32_t m_failures = 0;
+    bool m_tells_changes = true;
 };
 
 /// A target that may be chosen. The view is owned by the caller.
@@ -95,12 +101,12 @@
 /// Expected time that a request which is sent now stays at the target, for work
 /// that usually takes `usual_work`.
 [[nodiscard]] duration expected_stay(
-    target_view const& view, duration usual_work);
+    target_view const& view, duration usual_work, time_point now);
 
 /// Expected time to completion of work that usually takes `usual_work`, in
 /// usual work times.
 [[nodiscard]] double expected_cost(
-    placement_candidate const& candidate, duration usual_work);
+    placement_candidate const& candidate, duration usual_work, time_point now);
 
 /// The position of the candidate with the least expected cost; targets that
 /// are left out only where no other is there. Nothing where all are excluded.
--- a/src/include/hibiscustide/core/routing/telling.hpp
+++ b/src/include/hibiscustide/core/routing/telling.hpp
@@ -4,7 +4,8 @@
 #define HIBISCUSTIDE_CORE_ROUTING_TELLING_HPP
 
 #include <chrono>
-#include <cstdint>
+#include <cstddef>
+#include <string_view>
 
 #include <hibiscustide/core/routing/placement.hpp>
 #include <hibiscustide/core/time.hpp>
@@ -20,6 +21,7 @@
     double m_load_share = 0.1;     ///< Of the slots.
     std::chrono::milliseconds m_least{20};
     std::chrono::milliseconds m_most{400};
+    bool m_state_only = false; ///< Speed and load only at the regular time.
 };
 
 /// What one audience was told last. Not thread-safe.
@@ -42,11 +44,24 @@
 private:
     [[nodiscard]] bool has_changed(target_report const& report) const noexcept;
 
+    [[nodiscard]] bool has_moved(target_report const& report) const noexcept;
+
     telling_options m_options;
     target_report m_told;
     time_point m_told_at{};
 };
 
+/// Whether `listener` is among those whom `teller` tells of each change, where
+/// `listeners` could be told: all of a few, and `most_followers` on average of
+/// many, so that the messages of a fleet grow with its size and not with its
+/// square. Both ends come to the same answer.
+[[nodiscard]] bool is_follower(
+    std::string_view teller, std::string_view listener,
+    std::size_t listeners) noexcept;
+
+/// How many are told of each change.
+inline constexpr std::size_t most_followers = 12;
+
 } // namespace hibiscustide::core::routing
 
 #endif
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 void target_view::on_report(
-    target_report const& report, std::uint64_t sequence, time_point now)
+    target_report const& report, std::uint64_t sequence, time_point now,
+    bool tells_changes)
 {
     if (sequence <= m_sequence)
     {
@@ -31,6 +32,7 @@
     m_report = report;
     m_reported_at = now;
     m_sent_since_report = 0;
+    m_tells_changes = tells_changes;
 }
 
 void target_view::on_own_report(target_report const& report, time_point now)
@@ -85,6 +87,19 @@
     return m_reported_at;
 }
 
+speed target_view::speed_at(time_point now) const noexcept
+{
+    auto const& told = m_report.m_speed;
+    duration const lasts = std::chrono::milliseconds{told.m_lasts_ms};
+    if (m_tells_changes || now - m_reported_at < lasts)
+    {
+        return told;
+    }
+    return {
+        .m_slowness = told.m_mean_slowness,
+        .m_mean_slowness = told.m_mean_slowness};
+}
+
 double target_view::load() const noexcept
 {
     double const reported =
@@ -99,15 +114,17 @@
     return std::max(0.0, view.load() + 1 - slots) / slots;
 }
 
-duration expected_stay(target_view const& view, duration usual_work)
+duration expected_stay(
+    target_view const& view, duration usual_work, time_point now)
 {
     std::chrono::duration<double> const at_once =
-        expected_time(view.report().m_speed, usual_work);
+        expected_time(view.speed_at(now), usual_work);
     return std::chrono::duration_cast<duration>(
         at_once * (1.0 + beyond_slots(view)));
 }
 
-double expected_cost(placement_candidate const& candidate, duration usual_work)
+double expected_cost(
+    placement_candidate const& candidate, duration usual_work, time_point now)
 {
     auto const& view = *candidate.m_view;
     auto const& report = view.report();
@@ -115,7 +132,7 @@
     std::chrono::duration<double> const usual =
         std::max<duration>(usual_work, std::chrono::milliseconds{1});
     std::chrono::duration<double> const expected =
-        expected_time(report.m_speed, usual_work);
+        expected_time(view.speed_at(now), usual_work);
     double const slowness = expected / usual;
     double cost =
         slowness * (1.0 + crowding * view.load() / slots + beyond_slots(view));
@@ -143,7 +160,7 @@
         auto const& report = candidate.m_view->report();
         bool const takes_work =
             report.m_open && (!report.m_cold || report.m_cold_left > 0);
-        double cost = expected_cost(candidate, usual_work);
+        double cost = expected_cost(candidate, usual_work, now);
         bool const may_be_gone = candidate.m_view->is_left_out(now) ||
                                  candidate.m_view->is_silent(now);
         cost += may_be_gone ? behind : 0.0;
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -130,6 +130,17 @@
     CHECK(choose(old_and_new, 0, later) == 1);
 }
 
+TEST_CASE("an old report holds where changes are told, else the mean does")
+{
+    routing::target_view followed;
+    followed.on_report(make_report(0, 700), 1, start, true);
+    routing::target_view other;
+    other.on_report(make_report(0, 700), 1, start, false);
+    CHECK(other.speed_at(start + 499ms).m_slowness == 700);
+    CHECK(other.speed_at(start + 500ms).m_slowness == 150);
+    CHECK(followed.speed_at(start + 500ms).m_slowness == 700);
+}
+
 TEST_CASE("equal targets are chosen in turn by the tie")
 {
     auto const one = make_view(make_report(0));
--- a/src/libhibiscustide/core/routing/telling.cpp
+++ b/src/libhibiscustide/core/routing/telling.cpp
@@ -1,3 +1,4 @@
+#include <hibiscustide/core/hash.hpp>
 #include <hibiscustide/core/routing/telling.hpp>
 
 #include <algorithm>
@@ -34,6 +35,11 @@
     bool const state_changed = report.m_open != m_told.m_open ||
                                report.m_cold != m_told.m_cold ||
                                report.m_slots != m_told.m_slots;
+    return state_changed || (!m_options.m_state_only && has_moved(report));
+}
+
+bool telling::has_moved(target_report const& report) const noexcept
+{
     bool const room_changed =
         (report.m_cold_left == 0) != (m_told.m_cold_left == 0);
     double const before = std::max<std::uint32_t>(m_told.m_speed.m_slowness, 1);
@@ -49,8 +55,15 @@
     double const failing = report.m_failing;
     bool const failing_changed =
         std::abs(failing - m_told.m_failing) >= failing_step;
-    return state_changed || room_changed || speed_changed || load_changed ||
-           failing_changed;
+    return room_changed || speed_changed || load_changed || failing_changed;
+}
+
+bool is_follower(
+    std::string_view teller, std::string_view listener,
+    std::size_t listeners) noexcept
+{
+    return listeners <= most_followers ||
+           hash_of(listener, hash_of(teller)) % listeners < most_followers;
 }
 
 } // namespace hibiscustide::core::routing
--- a/src/libhibiscustide/core/routing/telling_test.cpp
+++ b/src/libhibiscustide/core/routing/telling_test.cpp
@@ -1,5 +1,7 @@
 #include <hibiscustide/core/routing/telling.hpp>
 
+#include <string>
+
 #include <doctest/doctest.h>
 
 namespace routing = hibiscustide::core::routing;
@@ -35,6 +37,35 @@
     CHECK(told.is_due(make_report(2, 120), start + 1'500ms));
 }
 
+TEST_CASE("who is no follower is told of state at once, of the rest regularly")
+{
+    auto regular = options;
+    regular.m_state_only = true;
+    routing::telling told{regular};
+    told.on_told(make_report(1), start);
+    CHECK_FALSE(told.is_due(make_report(1, 700), start + 500ms));
+    CHECK(told.is_due(make_report(1, 700), start + 1'500ms));
+    auto closed = make_report(1);
+    closed.m_open = false;
+    CHECK(told.is_due(closed, start + 20ms));
+}
+
+TEST_CASE("a few are all followers, of many about as many as wanted")
+{
+    CHECK(routing::is_follower("a", "b", routing::most_followers));
+    constexpr std::size_t listeners = 600;
+    std::size_t followers = 0;
+    for (std::size_t n = 0; n < listeners; ++n)
+    {
+        followers += routing::is_follower(
+                         "10.0.0.1", "10.1.0." + std::to_string(n), listeners)
+                         ? 1
+                         : 0;
+    }
+    CHECK(followers >= routing::most_followers / 2);
+    CHECK(followers <= routing::most_followers * 2);
+}
+
 TEST_CASE("a change of speed, load or state is told at once")
 {
     routing::telling told{options};
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -167,7 +167,7 @@
          .m_run = {
              .m_began_at = now,
              .m_expected = core::routing::expected_stay(
-                 node->m_view, m_options.m_usual_work)}});
+                 node->m_view, m_options.m_usual_work, now)}});
     auto const weak = weak_from_this();
     auto done = [weak, node, which](run_result result)
     {
@@ -391,7 +391,7 @@
                 least, core::routing::expected_cost(
                            {.m_view = &node->m_view,
                             .m_same_domain = node->m_same_domain},
-                           m_options.m_usual_work));
+                           m_options.m_usual_work, now));
         }
     }
     return least;
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -267,6 +267,7 @@
         on(value.m_revision);
         on(value.m_reads);
         on(value.m_returned);
+        on(value.m_follows);
         on(value.m_target.m_running);
         on(value.m_target.m_waiting);
         on(value.m_target.m_slots);
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -129,6 +129,7 @@
     std::uint64_t m_revision = 0; ///< Of the published items that it knows.
     bool m_reads = false; ///< It has heard from the publishing service lately.
     bool m_returned = false; ///< The service was away until lately.
+    bool m_follows = true;   ///< The listener is told of each change.
     core::routing::target_report m_target;
 
     friend auto operator<=>(node_status const&, node_status const&) = default;
--- a/src/libhibiscustide/net/mesh/neighbours.cpp
+++ b/src/libhibiscustide/net/mesh/neighbours.cpp
@@ -93,7 +93,8 @@
     node->m_heard_at = now;
     node->m_revision = std::max(node->m_revision, status.m_revision);
     node->m_reads = status.m_reads;
-    node->m_view.on_report(status.m_target, status.m_sequence, now);
+    node->m_view.on_report(
+        status.m_target, status.m_sequence, now, status.m_follows);
 }
 
 std::vector<neighbour_ptr> const& neighbours::members_of(
--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -30,11 +30,15 @@
     .m_load_share = 0.1,
     .m_least = milliseconds{15},
     .m_most = milliseconds{400}};
-constexpr core::routing::telling_options distant_telling{
+constexpr core::routing::telling_options followers_telling{
     .m_slowness_ratio = 1.4,
     .m_load_share = 0.3,
     .m_least = milliseconds{20},
     .m_most = milliseconds{1'500}};
+constexpr core::routing::telling_options distant_telling{
+    .m_least = milliseconds{20},
+    .m_most = milliseconds{1'500},
+    .m_state_only = true};
 
 } // namespace
 
@@ -47,6 +51,7 @@
       m_socket{context},
       m_timer{context},
       m_nearby{nearby_telling},
+      m_followers{followers_telling},
       m_distant{distant_telling}
 {
     m_status.m_incarnation = m_options.m_incarnation;
@@ -98,7 +103,7 @@
 
 void status_exchange::tell_all()
 {
-    tell(true, true);
+    tell(true, true, true);
 }
 
 awaitable<void> status_exchange::receive_loop()
@@ -129,45 +134,76 @@
     {
         auto const now = clock_now();
         auto const report = m_options.m_report();
-        tell(m_nearby.is_due(report, now), m_distant.is_due(report, now));
-        m_timer.expires_at(
-            std::min(m_nearby.next(report, now), m_distant.next(report, now)));
+        tell(
+            m_nearby.is_due(report, now), m_followers.is_due(report, now),
+            m_distant.is_due(report, now));
+        m_timer.expires_at(std::min(
+            {m_nearby.next(report, now), m_followers.next(report, now),
+             m_distant.next(report, now)}));
         co_await m_timer.async_wait(no_throw);
     }
 }
 
-void status_exchange::tell(bool nearby, bool distant)
+void status_exchange::tell(bool nearby, bool followers, bool distant)
 {
-    if (!nearby && !distant)
+    if (!nearby && !followers && !distant)
     {
         return;
     }
     auto const now = clock_now();
+    auto const listeners = count_distant();
     ++m_status.m_sequence;
     m_status.m_target = m_options.m_report();
-    auto const bytes = encode_status(m_status);
+    m_status.m_follows = true;
+    auto const to_followers = encode_status(m_status);
+    m_status.m_follows = false;
+    auto const to_others = encode_status(m_status);
     for (auto const& [address, node] : m_nodes.all())
     {
-        bool const is_wanted = node->m_same_domain ? nearby : distant;
-        if (node->m_is_self || !is_wanted)
+        bool const follows =
+            node->m_same_domain ||
+            core::routing::is_follower(
+                m_options.m_listen.m_address, address, listeners);
+        bool const is_due =
+            node->m_same_domain ? nearby : distant || (follows && followers);
+        if (!node->m_is_self && is_due)
         {
-            continue;
+            send(follows ? to_followers : to_others, address);
         }
-        beast::error_code ignored;
-        m_socket.send_to(
-            asio::buffer(bytes),
-            {asio::ip::make_address(address, ignored),
-             m_options.m_listen.m_port},
-            0, ignored);
     }
     if (nearby)
     {
         m_nearby.on_told(m_status.m_target, now);
     }
+    if (followers || distant)
+    {
+        m_followers.on_told(m_status.m_target, now);
+    }
     if (distant)
     {
         m_distant.on_told(m_status.m_target, now);
     }
 }
 
+void status_exchange::send(std::string const& bytes, std::string const& address)
+{
+    beast::error_code ignored;
+    m_socket.send_to(
+        asio::buffer(bytes),
+        {asio::ip::make_address(address, ignored), m_options.m_listen.m_port},
+        0, ignored);
+}
+
+std::size_t status_exchange::count_distant() const
+{
+    auto const& all = m_nodes.all();
+    auto const count = std::count_if(
+        all.begin(), all.end(),
+        [](auto const& entry)
+        {
+            return !entry.second->m_same_domain;
+        });
+    return static_cast<std::size_t>(count);
+}
+
 } // namespace hibiscustide::net::mesh
--- a/src/libhibiscustide/net/mesh/status_exchange.hpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.hpp
@@ -53,7 +53,9 @@
 private:
     awaitable<void> receive_loop();
     awaitable<void> tell_loop();
-    void tell(bool nearby, bool distant);
+    void tell(bool nearby, bool followers, bool distant);
+    void send(std::string const& bytes, std::string const& address);
+    [[nodiscard]] std::size_t count_distant() const;
 
     asio::io_context& m_context;
     status_exchange_options m_options;
@@ -61,7 +63,8 @@
     asio::ip::udp::socket m_socket;
     asio::steady_timer m_timer;
     core::routing::telling m_nearby;
-    core::routing::telling m_distant;
+    core::routing::telling m_followers; ///< Distant ones.
+    core::routing::telling m_distant;   ///< All distant ones.
     node_status m_status;
 };
 
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -35,7 +35,7 @@
     std::chrono::milliseconds m_probe_interval{40};
     std::string m_service;       ///< Of the target, by the settings.
     double m_cold_overage = 1.0; ///< Of what a cold target says it bears.
-    double m_cold_slack = 0.0; ///< On top of that in any one second.
+    double m_cold_slack = 0.0;   ///< On top of that in any one second.
     /// See core::admission::target_health.
     core::duration m_address_reuse{};
 };
