Seeds read the store at once and go on; others ask them, briefly after the first start

Now seeds don't wait, the others ask them every 60 ms for 0.12 s, or 0.4 s at the first start (setting first-start), and are told by them for 2.5 s.

--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -28,6 +28,7 @@
     std::string m_peer_ports;
     std::string m_publisher;
     std::string m_seeds;
+    std::string m_first_start = "false";
     std::string m_log_level = "info";
     std::string m_probe_interval_ms = "40";
     std::string m_cold_overage = "1";
@@ -53,6 +54,7 @@
     endpoint m_publisher;
     std::vector<endpoint>
         m_seeds; ///< Nodes to ask first; their ports are not used.
+    bool m_first_start = false; ///< The whole fleet starts for the first time.
     std::string m_log_level;
     std::chrono::milliseconds m_probe_interval{40};
     double m_cold_overage = 1;  ///< Borne above a cold target's published rate.
--- a/src/include/hibiscustide/core/directory/reading.hpp
+++ b/src/include/hibiscustide/core/directory/reading.hpp
@@ -28,6 +28,10 @@
     /// A reader that says nothing for this long is replaced.
     static constexpr std::chrono::milliseconds reader_silence{1'000};
 
+    /// A node that has just started is told by those that it asked, until it
+    /// knows who reads.
+    static constexpr std::chrono::milliseconds start_grace{2'500};
+
     explicit reading_duty(std::string_view own_address);
 
     /// A node of the own domain says that it is there and whether it reads.
@@ -36,8 +40,8 @@
     /// Whether on_peer needs to hear of the address.
     [[nodiscard]] bool is_outranked_by(std::string_view address) const noexcept;
 
-    /// The node has just learned what is published: readers that are there have
-    /// time to say so.
+    /// The node has just learned what is published, from one that goes on telling
+    /// it: readers that are there have time to say so.
     void begin(time_point now) noexcept;
 
     /// Whether this node reads.
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr auto truth_values =
+    std::to_array<std::string_view>({"true", "false"});
 constexpr auto log_levels =
     std::to_array<std::string_view>({"debug", "info", "warn", "error"});
 
@@ -89,6 +91,9 @@
         .m_admin_listen = {.m_address = peer_address, .m_port = ports.m_last},
         .m_publisher = check.address("--publisher", text.m_publisher),
         .m_seeds = read_seeds(check, text.m_seeds),
+        .m_first_start =
+            check.one_of("--first-start", text.m_first_start, truth_values) ==
+            "true",
         .m_log_level =
             check.one_of("--log-level", text.m_log_level, log_levels),
         .m_probe_interval = milliseconds{check.count(
--- a/src/libhibiscustide/core/config/mesh_settings_test.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings_test.cpp
@@ -42,9 +42,10 @@
     text.m_peer_ports = "7000";
     text.m_peer_address = "here";
     text.m_retry_ratio = "1.5";
+    text.m_first_start = "maybe";
     text.m_address_reuse_s = "soon";
     text.m_log_level = "loud";
     auto const checked = config::check_settings(text);
     REQUIRE(std::holds_alternative<core::field_errors>(checked));
-    CHECK(std::get<core::field_errors>(checked).size() == 7);
+    CHECK(std::get<core::field_errors>(checked).size() == 8);
 }
--- a/src/libhibiscustide/core/directory/reading.cpp
+++ b/src/libhibiscustide/core/directory/reading.cpp
@@ -30,7 +30,7 @@
 
 void reading_duty::begin(time_point now) noexcept
 {
-    m_heard_at = now;
+    m_heard_at = now + (start_grace - reader_silence);
 }
 
 bool reading_duty::is_due(time_point now) const noexcept
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -40,9 +40,8 @@
 // together are read together.
 constexpr milliseconds read_pause{300};
 
-// How long nodes from the settings have to answer before the service is read.
-constexpr milliseconds seed_patience{300};
-constexpr milliseconds seed_check{20};
+// Between two questions to the nodes from the settings.
+constexpr milliseconds seed_check{60};
 
 constexpr milliseconds duty_check{100};
 constexpr milliseconds expire_interval{100};
@@ -158,10 +157,14 @@
 // A node that starts among others spares the service.
 awaitable<void> directory_sync::hear_from_seeds()
 {
-    m_options.m_ask_seeds();
-    auto const until = clock_now() + seed_patience;
+    if (m_options.m_is_seed)
+    {
+        co_return;
+    }
+    auto const until = clock_now() + m_options.m_seed_patience;
     while (m_replica.revision() == 0 && clock_now() < until)
     {
+        m_options.m_ask_seeds();
         co_await pause(seed_check);
     }
 }
@@ -212,7 +215,8 @@
 
 void directory_sync::apply(core::directory::item_changes const& changes)
 {
-    if (m_replica.revision() == 0 && changes.m_revision > 0)
+    bool const is_first = m_replica.revision() == 0 && changes.m_revision > 0;
+    if (is_first && !m_options.m_is_seed)
     {
         m_duty.begin(clock_now());
     }
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -161,6 +161,8 @@
                     node->m_link->ask_changes(0);
                 }
             }
+            // So that they go on telling this node what they know.
+            m_status.tell_all();
         });
 }
 
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -1,5 +1,6 @@
 #include <hibiscustide/net/mesh_node.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -33,6 +34,12 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 
+// How long nodes from the settings have to answer before the service is read:
+// one that runs answers at once; at the first start of the fleet all begin
+// within a third of a second.
+constexpr milliseconds seed_patience{120};
+constexpr milliseconds first_start_patience{400};
+
 // Callers are led elsewhere once they have asked twice in vain, each second.
 constexpr milliseconds leave_notice{2'600};
 
@@ -79,6 +86,20 @@
     bool m_leaving = false;
 };
 
+// Whether the settings of other nodes name this node; without any seeds each
+// node reads for itself.
+static bool is_seed(core::config::mesh_settings const& settings)
+{
+    auto const& seeds = settings.m_seeds;
+    return seeds.empty() ||
+           std::any_of(
+               seeds.begin(), seeds.end(),
+               [&settings](core::endpoint const& seed)
+               {
+                   return seed.m_address == settings.m_peer_listen.m_address;
+               });
+}
+
 mesh_node::implementation::implementation(
     core::config::mesh_settings settings, mesh::protocol wire,
     publisher_factory const& make_publisher, settings_reader reread)
@@ -99,7 +120,10 @@
                [this]
            {
                m_traffic.ask_seeds();
-           }},
+           },
+           .m_is_seed = is_seed(m_settings),
+           .m_seed_patience =
+               m_settings.m_first_start ? first_start_patience : seed_patience},
           make_publisher(m_context),
           m_counts},
       m_traffic{m_settings, m_wire, m_counts, make_handlers()}
