Requests that crash each target that runs them are found, told to peers and refused

A gate notes requests whose connections broke within 0.4 s before its target went; two such crashes anywhere in the fleet, without an answer in between, block the request for 30 s (refused at once, not run); one answer clears it everywhere. Crashes and clearings travel in statuses for 3 s.

--- /dev/null
+++ b/src/include/hibiscustide/core/admission/crash_suspects.hpp
@@ -0,0 +1,120 @@
+/// \file
+/// Finds requests that crash each target that runs them.
+#ifndef HIBISCUSTIDE_CORE_ADMISSION_CRASH_SUSPECTS_HPP
+#define HIBISCUSTIDE_CORE_ADMISSION_CRASH_SUSPECTS_HPP
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <hibiscustide/core/time.hpp>
+
+namespace hibiscustide::core::admission
+{
+
+/// What makes two requests the same, whoever sends them: a hash over what a
+/// target gets of them.
+using fingerprint = std::uint64_t;
+
+/// One crash of a target and what it was running.
+struct crash_notice
+{
+    std::uint64_t m_number = 0; ///< Counts the crashes that a node has seen.
+    std::vector<fingerprint> m_suspects;
+
+    friend auto operator<=>(crash_notice const&, crash_notice const&) = default;
+};
+
+/// What nodes tell each other of crashes.
+struct crash_news
+{
+    std::vector<crash_notice> m_crashes;
+    std::vector<fingerprint> m_cleared; ///< Answered since they were suspects.
+
+    friend auto operator<=>(crash_news const&, crash_news const&) = default;
+};
+
+/// Counts for each request how many targets crashed while they ran it.
+///
+/// Answers a request that crashes each target that runs it and comes again at
+/// any node. Bystanders of one crash are only suspects; a request is blocked
+/// once it was there at two crashes and has never been answered in between.
+/// One answer of any target clears it. Not thread-safe.
+class crash_suspects
+{
+public:
+    /// Crashes after which a request is blocked.
+    static constexpr std::size_t crashes_to_block = 2;
+
+    /// A request stays a suspect, or blocked, for this long after a crash.
+    static constexpr std::chrono::milliseconds remembered_for{30'000};
+
+    /// Connections that broke this long before a crash was noticed broke by it.
+    static constexpr std::chrono::milliseconds broken_before{400};
+
+    /// News is told for this long, since messages may be lost.
+    static constexpr std::chrono::milliseconds told_for{3'000};
+
+    /// Bounds the size of the news.
+    static constexpr std::size_t most_suspects = 12;
+    static constexpr std::size_t most_told = 4;
+
+    /// The own target broke the connection over which it had the request.
+    void on_broken(fingerprint request, time_point now);
+
+    /// The own target has crashed. Gives how many requests are suspects by it.
+    std::size_t on_crash(time_point now);
+
+    /// The own target has answered the request.
+    void on_answered(fingerprint request, time_point now);
+
+    /// Another node's news. `node` names one life of it.
+    void on_news(std::uint64_t node, crash_news const& news, time_point now);
+
+    /// How much longer the request must not run; nothing where it may.
+    [[nodiscard]] std::optional<duration> blocked_for(
+        fingerprint request, time_point now) const;
+
+    /// Whether any request is a suspect, so that fingerprints matter.
+    [[nodiscard]] bool has_suspects() const noexcept;
+
+    /// What to tell other nodes.
+    [[nodiscard]] crash_news news(time_point now);
+
+private:
+    struct suspect
+    {
+        std::size_t m_crashes = 0;
+        time_point m_last{};
+    };
+
+    /// A node and the number of its notice.
+    using notice_id = std::pair<std::uint64_t, std::uint64_t>;
+
+    struct told_crash
+    {
+        time_point m_at{};
+        crash_notice m_notice;
+    };
+
+    void blame(std::uint64_t node, crash_notice const& notice, time_point now);
+    void clear(fingerprint request);
+    void forget(time_point now);
+
+    std::map<fingerprint, suspect> m_suspects;
+    std::map<notice_id, time_point> m_known; ///< Each crash counts once.
+    std::deque<std::pair<time_point, fingerprint>> m_broken;
+    std::deque<told_crash> m_crashes; ///< Of the own target.
+    std::deque<std::pair<time_point, fingerprint>> m_cleared; ///< By it.
+    std::uint64_t m_number = 0;
+};
+
+} // namespace hibiscustide::core::admission
+
+#endif
--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -81,9 +81,10 @@
     /// whether it may be used.
     void on_registered() noexcept;
 
-    /// Whether the present instance, not registered yet, surely belongs to the same service as the
-    /// one before it, or as the settings say where it is the first: it answered
-    /// before the address could have passed to another service.
+    /// Whether the present instance, not registered yet, surely belongs to the
+    /// same service as the one before it, or as the settings say where it is
+    /// the first: it answered before the address could have passed to another
+    /// service.
     [[nodiscard]] bool is_successor() const noexcept;
 
     /// The instance that answered the last probe; empty before.
--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -39,6 +39,7 @@
     target_withdrawn = 303,
     target_in_service = 304,
     target_cold = 305,
+    target_crashed = 306,
     order_outcome_unknown = 400,
     order_key_handed_over = 401,
     order_records_full = 402,
--- a/src/include/hibiscustide/core/verdict.hpp
+++ b/src/include/hibiscustide/core/verdict.hpp
@@ -46,6 +46,7 @@
     no_configuration,
     no_route,
     gate_restarted,
+    crashes_targets,
 };
 
 /// The name of a reason as it stands in headers, logs and reports.
--- a/src/libhibiscustide/core/verdict.cpp
+++ b/src/libhibiscustide/core/verdict.cpp
@@ -43,6 +43,7 @@
     {reason::no_configuration, "no-configuration"},
     {reason::no_route, "no-route"},
     {reason::gate_restarted, "gate-restarted"},
+    {reason::crashes_targets, "crashes-targets"},
 });
 
 struct verdict_name
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -235,7 +235,13 @@
          {"reached_target", std::int64_t{result.m_reached_target}},
          {"retry_after_ms", result.m_retry_after_ms}});
     bool const reached = result.m_reached_target;
+    bool const is_blocked = result.m_reason == core::reason::crashes_targets;
     m_last_refusal = std::move(result);
+    if (is_blocked)
+    {
+        finish(m_last_failure.value_or(m_last_refusal), std::nullopt);
+        return;
+    }
     bool const has_room =
         !reached || m_options.m_budget->spend(
                         core::retry::attempt_purpose::placement, clock_now());
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -203,6 +203,11 @@
         on(value.m_revision);
         on(value.m_removed);
     }
+    else if constexpr (std::is_same_v<type, core::admission::crash_notice>)
+    {
+        on(value.m_number);
+        on(value.m_suspects);
+    }
     else if constexpr (std::is_same_v<type, hello>)
     {
         on(value.m_node);
@@ -278,6 +283,8 @@
         on(value.m_target.m_cold_left);
         on(value.m_target.m_cold);
         on(value.m_target.m_open);
+        on(value.m_crashes.m_crashes);
+        on(value.m_crashes.m_cleared);
     }
 }
 
--- a/src/libhibiscustide/net/mesh/codec_test.cpp
+++ b/src/libhibiscustide/net/mesh/codec_test.cpp
@@ -71,7 +71,10 @@
         .m_sequence = 6,
         .m_revision = 7,
         .m_reads = true,
-        .m_target = {.m_running = 3, .m_slots = 18, .m_cold = true}};
+        .m_target = {.m_running = 3, .m_slots = 18, .m_cold = true},
+        .m_crashes = {
+            .m_crashes = {{.m_number = 2, .m_suspects = {7, 8}}},
+            .m_cleared = {9}}};
     CHECK(mesh::decode_status(mesh::encode_status(status)) == status);
     CHECK_FALSE(mesh::decode_status("").has_value());
 }
--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -21,7 +21,7 @@
 using std::chrono::milliseconds;
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t max_datagram = 512;
+constexpr std::size_t max_datagram = 1'024;
 constexpr milliseconds receive_pause{50};
 
 // Inside the failure domain bytes are free, across its border they are dear.
@@ -154,6 +154,7 @@
     auto const listeners = count_distant();
     ++m_status.m_sequence;
     m_status.m_target = m_options.m_report();
+    m_status.m_crashes = m_options.m_crashes();
     m_status.m_follows = true;
     auto const to_followers = encode_status(m_status);
     m_status.m_follows = false;
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -32,10 +32,12 @@
 
 target_gate::target_gate(
     asio::io_context& context, target_gate_options options,
-    protocol const& wire, metrics& counts)
+    protocol const& wire, core::admission::crash_suspects& suspects,
+    metrics& counts)
     : m_context{context},
       m_options{std::move(options)},
       m_wire{wire},
+      m_suspects{suspects},
       m_counts{counts},
       m_pool{
           context,
@@ -70,6 +72,18 @@
         refuse(request, done, refusal(*why));
         return id;
     }
+    if (m_suspects.has_suspects())
+    {
+        auto const blocked =
+            m_suspects.blocked_for(fingerprint_of(request), now);
+        if (blocked)
+        {
+            refuse(
+                request, done,
+                refusal(core::reason::crashes_targets, false, *blocked));
+            return id;
+        }
+    }
     auto item = std::make_shared<work>();
     item->m_ticket = id;
     item->m_deadline = now + milliseconds{request.m_left_ms};
@@ -201,6 +215,11 @@
     m_on_change = std::move(handler);
 }
 
+void target_gate::on_crash(std::function<void()> handler)
+{
+    m_on_crash = std::move(handler);
+}
+
 Json::Value target_gate::to_json() const
 {
     auto const state = report();
@@ -254,6 +273,7 @@
         }
         if (previous != m_health.instance())
         {
+            on_target_gone();
             m_pool.retire_idle();
             update_entry();
         }
@@ -261,8 +281,12 @@
     else
     {
         auto const& failure = std::get<exchange_failure>(exchanged);
-        m_health.on_probe_failed(
-            failure.m_reason == core::reason::connect_failed, now);
+        bool const refused = failure.m_reason == core::reason::connect_failed;
+        m_health.on_probe_failed(refused, now);
+        if (refused)
+        {
+            on_target_gone();
+        }
     }
     auto const after = report();
     if (before.m_open != after.m_open)
@@ -284,6 +308,24 @@
     }
 }
 
+// Requests whose connections broke just before may have crashed the target.
+void target_gate::on_target_gone()
+{
+    auto const suspects = m_suspects.on_crash(clock_now());
+    if (suspects == 0)
+    {
+        return;
+    }
+    log_event(
+        event::target_crashed,
+        {{"target", m_entry ? m_entry->m_instance : ""},
+         {"suspects", static_cast<std::int64_t>(suspects)}});
+    if (m_on_crash)
+    {
+        m_on_crash();
+    }
+}
+
 void target_gate::start_work(std::shared_ptr<work> const& item)
 {
     item->m_running = true;
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -15,6 +15,7 @@
 
 #include <hibiscustide/core/admission/admission_queue.hpp>
 #include <hibiscustide/core/admission/cold_rate.hpp>
+#include <hibiscustide/core/admission/crash_suspects.hpp>
 #include <hibiscustide/core/admission/target_health.hpp>
 #include <hibiscustide/core/directory/directory.hpp>
 #include <hibiscustide/core/routing/placement.hpp>
@@ -52,7 +53,8 @@
 
     target_gate(
         asio::io_context& context, target_gate_options options,
-        protocol const& wire, metrics& counts);
+        protocol const& wire, core::admission::crash_suspects& suspects,
+        metrics& counts);
 
     /// Begins to probe.
     void start();
@@ -82,6 +84,9 @@
     /// Called when the report has changed.
     void on_change(std::function<void()> handler);
 
+    /// Called when the target has crashed with requests under way.
+    void on_crash(std::function<void()> handler);
+
     [[nodiscard]] Json::Value to_json() const;
 
 private:
@@ -99,6 +104,7 @@
     void refuse_waiting(ticket which, core::reason why);
     void pump();
     void update_entry();
+    void on_target_gone();
     [[nodiscard]] bool is_entry_of_target() const;
     [[nodiscard]] std::optional<core::reason> closed_for(
         run_request const& request) const;
@@ -110,6 +116,7 @@
     asio::io_context& m_context;
     target_gate_options m_options;
     protocol const& m_wire;
+    core::admission::crash_suspects& m_suspects;
     metrics& m_counts;
     connection_pool m_pool;
     connection_pool m_probe_pool;
@@ -122,6 +129,7 @@
     core::admission::target_health m_health;
     std::map<ticket, std::shared_ptr<work>> m_work;
     std::function<void()> m_on_change;
+    std::function<void()> m_on_crash;
     ticket m_next_ticket = 1;
     bool m_leaving = false;
 };
--- a/src/libhibiscustide/net/mesh/target_gate_work.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate_work.hpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cstdint>
 
+#include <hibiscustide/core/hash.hpp>
+
 #include "net/mesh/target_gate.hpp"
 
 namespace hibiscustide::net::mesh
@@ -35,6 +37,15 @@
     return std::chrono::milliseconds{request.m_work_ms};
 }
 
+/// The same for requests that are the same to the target.
+inline core::admission::fingerprint fingerprint_of(run_request const& request)
+{
+    auto const head = core::hash_of(
+        request.m_path,
+        core::hash_of(request.m_method, core::hash_of(request.m_caller)));
+    return core::hash_of(request.m_body, head);
+}
+
 /// The request did not run.
 inline run_result refusal(
     core::reason why, bool reached_target = false,
--- a/src/libhibiscustide/net/mesh/traffic.cpp
+++ b/src/libhibiscustide/net/mesh/traffic.cpp
@@ -62,6 +62,7 @@
            .m_cold_slack = settings.m_cold_slack,
            .m_address_reuse = settings.m_address_reuse},
           wire,
+          m_suspects,
           counts},
       m_dispatcher{
           m_context,
@@ -91,6 +92,11 @@
            {
                return m_gate.report();
            },
+           .m_crashes =
+               [this]
+           {
+               return m_suspects.news(clock_now());
+           },
            .m_on_status =
                [this](std::string const& address, node_status const& status)
            {
@@ -103,6 +109,11 @@
         {
             m_status.on_change();
         });
+    m_gate.on_crash(
+        [this]
+        {
+            m_status.tell_all();
+        });
 }
 
 traffic::~traffic()
@@ -249,7 +260,9 @@
     {
         return;
     }
-    m_nodes.on_status(address, status, clock_now());
+    auto const now = clock_now();
+    m_nodes.on_status(address, status, now);
+    m_suspects.on_news(status.m_incarnation, status.m_crashes, now);
     auto const node = m_nodes.find(address);
     m_handlers.m_on_status(address, node && node->m_same_domain, status);
     ask_for_changes();
