--- a/src/libhibiscustide/net/mesh/target_gate_work.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate_work.hpp
@@ -37,12 +37,11 @@
     return std::chrono::milliseconds{request.m_work_ms};
 }
 
-/// The same for requests that are the same to the target.
+/// The same for requests that ask the same of a target, whoever sends them.
 inline core::admission::fingerprint fingerprint_of(run_request const& request)
 {
-    auto const head = core::hash_of(
-        request.m_path,
-        core::hash_of(request.m_method, core::hash_of(request.m_caller)));
+    auto const head =
+        core::hash_of(request.m_path, core::hash_of(request.m_method));
     return core::hash_of(request.m_body, head);
 }
 
