--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -37,7 +37,9 @@
 class target_view
 {
 public:
-    /// A node that has told nothing for this long may not be there any more.
+    /// A node that has told nothing for this long may not be there any more:
+    /// one of the own failure domain, which tells often, and any other.
+    static constexpr std::chrono::milliseconds silent_nearby_after{1'000};
     static constexpr std::chrono::milliseconds silent_after{3'500};
 
     /// A report with a higher sequence number replaces the one before. Where
@@ -65,7 +67,8 @@
     [[nodiscard]] bool is_left_out(time_point now) const noexcept;
 
     /// Whether its node has told nothing, or nothing lately.
-    [[nodiscard]] bool is_silent(time_point now) const noexcept;
+    [[nodiscard]] bool is_silent(
+        bool same_domain, time_point now) const noexcept;
 
     [[nodiscard]] target_report const& report() const noexcept;
     [[nodiscard]] time_point reported_at() const noexcept;
@@ -93,6 +96,7 @@
     target_view const* m_view = nullptr;
     bool m_same_domain = false;
     bool m_excluded = false; ///< It has refused or failed this request.
+    bool m_answering = true; ///< Its node has not left a question open.
 };
 
 /// The price of leaving the failure domain, in usual work times.
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -71,10 +71,11 @@
     return now < m_left_out_until;
 }
 
-bool target_view::is_silent(time_point now) const noexcept
+bool target_view::is_silent(bool same_domain, time_point now) const noexcept
 {
     bool const is_heard = m_reported_at != time_point{};
-    return !is_heard || now - m_reported_at > silent_after;
+    auto const limit = same_domain ? silent_nearby_after : silent_after;
+    return !is_heard || now - m_reported_at > limit;
 }
 
 target_report const& target_view::report() const noexcept
@@ -161,8 +162,10 @@
         bool const takes_work =
             report.m_open && (!report.m_cold || report.m_cold_left > 0);
         double cost = expected_cost(candidate, usual_work, now);
-        bool const may_be_gone = candidate.m_view->is_left_out(now) ||
-                                 candidate.m_view->is_silent(now);
+        bool const may_be_gone =
+            candidate.m_view->is_left_out(now) ||
+            candidate.m_view->is_silent(candidate.m_same_domain, now) ||
+            !candidate.m_answering;
         cost += may_be_gone ? behind : 0.0;
         cost += takes_work ? 0.0 : behind;
         if (cost < least)
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -130,6 +130,24 @@
     CHECK(choose(old_and_new, 0, later) == 1);
 }
 
+// VMs stand still for seconds: nodes of the own domain tell often, and a link
+// with requests under way is asked whether it is there.
+TEST_CASE("a node that may stand still comes behind the others")
+{
+    auto const nearby = make_view(make_report(0));
+    auto busy = make_view(make_report(5));
+    auto const later = start + routing::target_view::silent_nearby_after + 1ms;
+    busy.on_report(make_report(5), 2, later);
+    CHECK(
+        choose(
+            {{.m_view = &nearby, .m_same_domain = true}, {.m_view = &busy}}, 0,
+            later) == 1);
+    CHECK(
+        choose(
+            {{.m_view = &nearby, .m_answering = false}, {.m_view = &busy}}) ==
+        1);
+}
+
 TEST_CASE("an old report holds where changes are told, else the mean does")
 {
     routing::target_view followed;
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -364,7 +364,8 @@
             {.m_view = &node->m_view,
              .m_same_domain = node->m_same_domain,
              .m_excluded = contains(m_refused, node.get()) ||
-                           contains(m_failed, node.get())});
+                           contains(m_failed, node.get()),
+             .m_answering = node->is_answering(now)});
     }
     auto const tie = static_cast<std::size_t>(m_environment.m_random());
     auto const position =
@@ -389,7 +390,8 @@
             });
         bool const is_out = is_used || !report.m_open ||
                             node->m_view.is_left_out(now) ||
-                            node->m_view.is_silent(now) ||
+                            node->m_view.is_silent(node->m_same_domain, now) ||
+                            !node->is_answering(now) ||
                             (report.m_cold && report.m_cold_left == 0);
         if (!is_out)
         {
--- a/src/libhibiscustide/net/mesh/neighbours.hpp
+++ b/src/libhibiscustide/net/mesh/neighbours.hpp
@@ -35,6 +35,13 @@
     std::uint64_t m_revision = 0;
     bool m_reads = false;
     core::time_point m_heard_at{};
+
+    /// Whether requests that are sent to it now will be read, as far as is
+    /// known.
+    [[nodiscard]] bool is_answering(core::time_point now) const noexcept
+    {
+        return !m_link || m_link->is_answering(now);
+    }
 };
 
 using neighbour_ptr = std::shared_ptr<neighbour>;
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -27,11 +27,14 @@
 
 constexpr milliseconds connect_limit{500};
 constexpr milliseconds reconnect_pause{60};
-constexpr milliseconds watch_interval{150};
+constexpr milliseconds watch_interval{100};
 
 // A gate that has said nothing for this long is asked whether it is there.
 constexpr milliseconds ping_after{250};
 
+// Longer than a ping takes to a node that works.
+constexpr milliseconds round_trip_limit{100};
+
 // A gate that does not answer that for this long has lost the connection.
 constexpr milliseconds answer_limit{650};
 
@@ -131,6 +134,13 @@
     return m_pending.size();
 }
 
+bool peer_link::is_answering(core::time_point now) const noexcept
+{
+    bool const is_asked =
+        m_pinged_at && m_stream && m_stream->heard_at() < *m_pinged_at;
+    return !is_asked || now - *m_pinged_at < round_trip_limit;
+}
+
 void peer_link::begin_connecting()
 {
     if (m_closed || std::exchange(m_connecting, true))
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -59,6 +59,10 @@
     /// Requests without a result.
     [[nodiscard]] std::size_t pending() const noexcept;
 
+    /// False while the node has left a ping unanswered for longer than a round
+    /// trip takes.
+    [[nodiscard]] bool is_answering(core::time_point now) const noexcept;
+
 private:
     struct pending_request
     {
