--- a/src/include/hibiscustide/core/routing/telling.hpp
+++ b/src/include/hibiscustide/core/routing/telling.hpp
@@ -21,7 +21,9 @@
     double m_load_share = 0.1;     ///< Of the slots.
     std::chrono::milliseconds m_least{20};
     std::chrono::milliseconds m_most{400};
-    bool m_state_only = false; ///< Speed and load only at the regular time.
+    /// Speed and load only at the regular time, unless the target is cold: then
+    /// whoever places a request needs to know how little room is left.
+    bool m_state_only = false;
 };
 
 /// What one audience was told last. Not thread-safe.
--- a/src/libhibiscustide/core/routing/telling.cpp
+++ b/src/libhibiscustide/core/routing/telling.cpp
@@ -35,7 +35,13 @@
     bool const state_changed = report.m_open != m_told.m_open ||
                                report.m_cold != m_told.m_cold ||
                                report.m_slots != m_told.m_slots;
-    return state_changed || (!m_options.m_state_only && has_moved(report));
+    constexpr double failing_step = 15;
+    double const failing = report.m_failing;
+    bool const failing_changed =
+        std::abs(failing - m_told.m_failing) >= failing_step;
+    bool const all_matters = !m_options.m_state_only || report.m_cold;
+    return state_changed || failing_changed ||
+           (all_matters && has_moved(report));
 }
 
 bool telling::has_moved(target_report const& report) const noexcept
@@ -51,11 +57,7 @@
     bool const load_changed =
         std::abs(load - told_load) >=
         std::max(1.0, m_options.m_load_share * report.m_slots);
-    constexpr double failing_step = 15;
-    double const failing = report.m_failing;
-    bool const failing_changed =
-        std::abs(failing - m_told.m_failing) >= failing_step;
-    return room_changed || speed_changed || load_changed || failing_changed;
+    return room_changed || speed_changed || load_changed;
 }
 
 bool is_follower(
--- a/src/libhibiscustide/core/routing/telling_test.cpp
+++ b/src/libhibiscustide/core/routing/telling_test.cpp
@@ -48,6 +48,23 @@
     auto closed = make_report(1);
     closed.m_open = false;
     CHECK(told.is_due(closed, start + 20ms));
+    auto failing = make_report(1);
+    failing.m_failing = 40;
+    CHECK(told.is_due(failing, start + 20ms));
+}
+
+// All power was lost: every target is cold and soon has no room.
+TEST_CASE("everybody is told of each change of a cold target")
+{
+    auto regular = options;
+    regular.m_state_only = true;
+    routing::telling told{regular};
+    auto cold = make_report(1);
+    cold.m_cold = true;
+    cold.m_cold_left = 2;
+    told.on_told(cold, start);
+    cold.m_cold_left = 0;
+    CHECK(told.is_due(cold, start + 20ms));
 }
 
 TEST_CASE("a few are all followers, of many about as many as wanted")
