--- a/src/include/hibiscustide/core/admission/crash_suspects.hpp
+++ b/src/include/hibiscustide/core/admission/crash_suspects.hpp
@@ -18,8 +18,8 @@
 namespace hibiscustide::core::admission
 {
 
-/// What makes two requests the same, whoever sends them: a hash over what a
-/// target gets of them.
+/// What makes two requests the same, whoever sends them: a hash over method,
+/// path and body.
 using fingerprint = std::uint64_t;
 
 /// One crash of a target and what it was running.
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/net/event_log.hpp>
 
@@ -22,7 +20,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds probe_idle_limit{5'000};
 
 } // namespace
