--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -57,8 +57,8 @@
     bool m_first_start = false; ///< The whole fleet starts for the first time.
     std::string m_log_level;
     std::chrono::milliseconds m_probe_interval{40};
-    double m_cold_overage = 1;  ///< Borne above a cold target's published rate.
-    double m_cold_slack = 0; ///< Requests on top of that in any one second.
+    double m_cold_overage = 1; ///< Borne above a cold target's published rate.
+    double m_cold_slack = 0;   ///< Requests on top of that in any one second.
     /// A target's address passes to another service no sooner than this after
     /// its end.
     std::chrono::seconds m_address_reuse{0};
--- a/src/include/hibiscustide/core/directory/reading.hpp
+++ b/src/include/hibiscustide/core/directory/reading.hpp
@@ -40,8 +40,8 @@
     /// Whether on_peer needs to hear of the address.
     [[nodiscard]] bool is_outranked_by(std::string_view address) const noexcept;
 
-    /// The node has just learned what is published, from one that goes on telling
-    /// it: readers that are there have time to say so.
+    /// The node has just learned what is published, from one that goes on
+    /// telling it: readers that are there have time to say so.
     void begin(time_point now) noexcept;
 
     /// Whether this node reads.
--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -100,7 +100,7 @@
 };
 
 /// The price of leaving the failure domain, in usual work times.
-inline constexpr double distance_cost = 0.5;
+inline constexpr double distance_cost = 0.8;
 
 /// Expected time that a request which is sent now stays at the target, for work
 /// that usually takes `usual_work`.
