A VM that stood still notices it: what waited at its gate is refused, and the pause counts as silence of its target

Cause, found by reading: the monotonic clock doesn't count the time in which a VM is suspended, so after a long sleep another instance at the target's address would have passed for a quick successor, though the address may have gone to another service meanwhile; and requests that waited would have run for nobody. The unit test fails without on_suspended.

--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -60,6 +60,9 @@
     /// A probe got no answer. `refused` where no connection could be made.
     void on_probe_failed(bool refused, time_point now) noexcept;
 
+    /// The VM stood still for this long, which `now` doesn't count.
+    void on_suspended(duration span) noexcept;
+
     /// A request's connection was refused.
     void on_connect_failed(time_point now) noexcept;
 
--- a/src/libhibiscustide/core/admission/target_health.cpp
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -45,6 +45,15 @@
     m_refused = refused;
 }
 
+void target_health::on_suspended(duration span) noexcept
+{
+    m_started_at -= span;
+    if (m_answered_at)
+    {
+        *m_answered_at -= span;
+    }
+}
+
 void target_health::on_connect_failed(time_point /*now*/) noexcept
 {
     m_refused = true;
--- a/src/libhibiscustide/core/admission/target_health_test.cpp
+++ b/src/libhibiscustide/core/admission/target_health_test.cpp
@@ -88,6 +88,12 @@
     health.on_registered();
     health.on_probe({.m_instance = "i-4"}, start + 5'040ms);
     CHECK_FALSE(health.is_successor());
+    // The VM stood still while the address may have changed hands.
+    target_health slept{start, 2s};
+    slept.on_probe({.m_instance = "i-1"}, start);
+    slept.on_suspended(4s);
+    slept.on_probe({.m_instance = "i-2"}, start + 40ms);
+    CHECK_FALSE(slept.is_successor());
     target_health late{start, 2s};
     late.on_probe({.m_instance = "i-1"}, start + 2s);
     CHECK_FALSE(late.is_successor());
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -48,7 +48,8 @@
           {.m_remote = m_options.m_target, .m_idle_limit = probe_idle_limit}},
       m_probe_timer{context},
       m_directory{std::make_shared<core::directory::directory const>()},
-      m_health{clock_now(), m_options.m_address_reuse}
+      m_health{clock_now(), m_options.m_address_reuse},
+      m_suspended{suspended_time()}
 {
 }
 
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -105,6 +105,7 @@
     void pump();
     void update_entry();
     void on_target_gone();
+    void notice_suspension();
     [[nodiscard]] bool is_entry_of_target() const;
     [[nodiscard]] std::optional<core::reason> closed_for(
         run_request const& request) const;
@@ -131,6 +132,7 @@
     std::function<void()> m_on_change;
     std::function<void()> m_on_crash;
     ticket m_next_ticket = 1;
+    core::duration m_suspended; ///< Of the VM, when it was last looked at.
     bool m_leaving = false;
 };
 
--- a/src/libhibiscustide/net/mesh/target_gate_state.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_state.cpp
@@ -2,6 +2,7 @@
 #include "net/mesh/target_gate.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +25,9 @@
 constexpr unsigned http_1_1 = 11;
 constexpr milliseconds probe_limit{400};
 
+// Less is within the error of the clocks.
+constexpr milliseconds least_suspension{250};
+
 // Connections to the target that are left to probes and to whoever else.
 constexpr std::uint32_t spare_connections = 3;
 
@@ -51,6 +55,7 @@
     auto const before = report();
     auto const exchanged = co_await m_probe_pool.exchange(
         request, clock_now() + probe_limit, nullptr);
+    notice_suspension();
     auto const now = clock_now();
     if (auto const* const response = std::get_if<http_response>(&exchanged))
     {
@@ -101,6 +106,25 @@
     }
 }
 
+// A VM that stood still wakes up in a world that has moved on: nobody waits any
+// more for what waited here.
+void target_gate::notice_suspension()
+{
+    auto const before = std::exchange(m_suspended, suspended_time());
+    auto const span =
+        std::chrono::duration_cast<milliseconds>(m_suspended - before);
+    if (span < least_suspension)
+    {
+        return;
+    }
+    log_event(event::process_paused, {{"ms", span.count()}});
+    m_health.on_suspended(span);
+    for (auto const id : m_queue.take_all())
+    {
+        refuse_waiting(id, core::reason::deadline_passed);
+    }
+}
+
 // Requests whose connections broke just before may have crashed the target.
 void target_gate::on_target_gone()
 {
