--- a/src/include/hibiscustide/core/directory/directory.hpp
+++ b/src/include/hibiscustide/core/directory/directory.hpp
@@ -79,8 +79,13 @@
     void withdraw(std::string const& failure_domain);
     void restore(std::string const& failure_domain);
 
-    /// The publishing service has been away until now.
-    void service_returned(time_point now) noexcept;
+    /// Longer ago than this, a failure says nothing of when the publishing
+    /// service returned: a reader that is not needed doesn't try it.
+    static constexpr std::chrono::milliseconds failure_is_fresh{3'000};
+
+    /// The publishing service answers again; it last failed at `failed_at`.
+    /// Gives whether that is a return from which graces count.
+    bool service_returned(time_point failed_at, time_point now) noexcept;
 
     /// A peer says that it has been away until lately. Peers say so for a
     /// while, so their word does not move a return that is known.
--- a/src/libhibiscustide/core/directory/directory.cpp
+++ b/src/libhibiscustide/core/directory/directory.cpp
@@ -116,9 +116,15 @@
     m_withdrawn.erase(failure_domain);
 }
 
-void directory_state::service_returned(time_point now) noexcept
+bool directory_state::service_returned(
+    time_point failed_at, time_point now) noexcept
 {
+    if (now - failed_at > failure_is_fresh)
+    {
+        return false;
+    }
     m_returned_at = now;
+    return true;
 }
 
 void directory_state::peer_told_of_return(time_point now) noexcept
--- a/src/libhibiscustide/core/directory/directory_test.cpp
+++ b/src/libhibiscustide/core/directory/directory_test.cpp
@@ -61,7 +61,7 @@
     directory::directory_state state;
     state.put(make_target("i-1"));
     state.put(make_target("i-2"));
-    state.service_returned(start);
+    CHECK(state.service_returned(start - 1s, start));
     state.remove("i-1", start + 10ms);
     state.remove("i-2", start + 10ms);
     state.expire(start + 1'500ms);
@@ -72,6 +72,18 @@
     CHECK(state.view()->find("i-2") == nullptr);
 }
 
+// A reader was turned away, was not needed for ten seconds, and reads again
+// just before a target leaves for good.
+TEST_CASE("a failure of long ago is no return")
+{
+    directory::directory_state state;
+    state.put(make_target("i-1"));
+    CHECK_FALSE(state.service_returned(start - 10s, start));
+    state.remove("i-1", start + 100ms);
+    state.expire(start + 900ms);
+    CHECK(state.view()->find("i-1") == nullptr);
+}
+
 // A reader was turned away for a while and says so for 1.5 s after; a target's
 // entry goes meanwhile, for good.
 TEST_CASE("the word of peers does not prolong a return that is known")
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -196,14 +196,17 @@
             event::platform_reachable,
             {{"failures", static_cast<std::int64_t>(m_failures)}});
         m_failures = 0;
-        m_returned_at = now;
-        m_state.service_returned(now);
+        if (m_state.service_returned(m_failed_at, now))
+        {
+            m_returned_at = now;
+        }
     }
     apply(changes);
 }
 
 void directory_sync::on_failure(std::string const& why)
 {
+    m_failed_at = clock_now();
     if (m_failures++ == 0)
     {
         log_event(
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -95,6 +95,7 @@
     core::directory::directory_ptr m_view;
     directory_update m_told;
     core::time_point m_read_at{};     ///< The service last answered.
+    core::time_point m_failed_at{};   ///< It last didn't answer.
     core::time_point m_returned_at{}; ///< It answered again after a failure.
     std::uint32_t m_failures = 0;
     bool m_lost_history = false;
