What was answered shortly before a crash is no suspect of it

That path, which every caller of the soak asks for, was in flight when a caller's attempt and its repeat crashed two targets within milliseconds; blocked from then on, it could not be answered any more. Now a fingerprint that a target has answered in the 15 s before is cleared there and, by news, everywhere. The new unit test fails without that.

--- a/src/include/hibiscustide/core/admission/crash_suspects.hpp
+++ b/src/include/hibiscustide/core/admission/crash_suspects.hpp
@@ -45,7 +45,8 @@
 /// Answers a request that crashes each target that runs it and comes again at
 /// any node. Bystanders of one crash are only suspects; a request is blocked
 /// once it was there at two crashes and has never been answered in between.
-/// One answer of any target clears it. Not thread-safe.
+/// One answer of any target clears it, also one shortly before the crash: what
+/// everybody asks for is in flight at many crashes. Not thread-safe.
 class crash_suspects
 {
 public:
@@ -61,6 +62,12 @@
     /// News is told for this long, since messages may be lost.
     static constexpr std::chrono::milliseconds told_for{3'000};
 
+    /// A request that was answered this long before a crash did not cause it.
+    static constexpr std::chrono::milliseconds answered_before{15'000};
+
+    /// Bounds the answers that are remembered.
+    static constexpr std::size_t most_answered = 4'096;
+
     /// Bounds the size of the news.
     static constexpr std::size_t most_suspects = 12;
     static constexpr std::size_t most_told = 4;
@@ -81,7 +88,7 @@
     [[nodiscard]] std::optional<duration> blocked_for(
         fingerprint request, time_point now) const;
 
-    /// Whether any request is a suspect, so that fingerprints matter.
+    /// Whether any request is a suspect.
     [[nodiscard]] bool has_suspects() const noexcept;
 
     /// What to tell other nodes.
@@ -106,7 +113,9 @@
     void blame(std::uint64_t node, crash_notice const& notice, time_point now);
     void clear(fingerprint request);
     void forget(time_point now);
+    [[nodiscard]] bool was_answered(fingerprint request, time_point now) const;
 
+    std::map<fingerprint, time_point> m_answered; ///< By the own target.
     std::map<fingerprint, suspect> m_suspects;
     std::map<notice_id, time_point> m_known; ///< Each crash counts once.
     std::deque<std::pair<time_point, fingerprint>> m_broken;
--- a/src/libhibiscustide/core/admission/crash_suspects.cpp
+++ b/src/libhibiscustide/core/admission/crash_suspects.cpp
@@ -28,7 +28,9 @@
     for (auto const& [at, request] : m_broken)
     {
         bool const is_full = notice.m_suspects.size() == most_suspects;
-        if (at + broken_before >= now && !is_full)
+        bool const is_suspect =
+            at + broken_before >= now && !was_answered(request, now);
+        if (is_suspect && !is_full)
         {
             notice.m_suspects.push_back(request);
         }
@@ -50,6 +52,11 @@
         clear(request);
         m_cleared.emplace_back(now, request);
     }
+    if (m_answered.size() == most_answered)
+    {
+        m_answered.clear();
+    }
+    m_answered.insert_or_assign(request, now);
 }
 
 void crash_suspects::on_news(
@@ -59,6 +66,14 @@
     for (auto const& notice : news.m_crashes)
     {
         blame(node, notice, now);
+        for (auto const request : notice.m_suspects)
+        {
+            if (was_answered(request, now) && m_suspects.contains(request))
+            {
+                clear(request);
+                m_cleared.emplace_back(now, request);
+            }
+        }
     }
     for (auto const request : news.m_cleared)
     {
@@ -114,6 +129,12 @@
     }
 }
 
+bool crash_suspects::was_answered(fingerprint request, time_point now) const
+{
+    auto const it = m_answered.find(request);
+    return it != m_answered.end() && it->second + answered_before > now;
+}
+
 void crash_suspects::clear(fingerprint request)
 {
     m_suspects.erase(request);
--- a/src/libhibiscustide/core/admission/crash_suspects_test.cpp
+++ b/src/libhibiscustide/core/admission/crash_suspects_test.cpp
@@ -59,6 +59,30 @@
     CHECK(teller.news(start + 4s) == admission::crash_news{});
 }
 
+// A caller's attempt and its repeat crash two targets within milliseconds, and
+// what everybody asks for is in flight at both.
+TEST_CASE("what was answered shortly before two crashes is blocked nowhere")
+{
+    crash_suspects one;
+    crash_suspects other;
+    crash_suspects third;
+    third.on_answered(bystander, start - 5s);
+    one.on_broken(bystander, start);
+    one.on_broken(culprit, start);
+    other.on_broken(bystander, start + 2ms);
+    other.on_broken(culprit, start + 2ms);
+    one.on_crash(start + 3ms);
+    other.on_crash(start + 4ms);
+    third.on_news(1, one.news(start + 4ms), start + 4ms);
+    third.on_news(2, other.news(start + 4ms), start + 4ms);
+    one.on_news(2, other.news(start + 4ms), start + 4ms);
+    CHECK_FALSE(third.blocked_for(bystander, start + 5ms).has_value());
+    CHECK(third.blocked_for(culprit, start + 5ms).has_value());
+    one.on_news(3, third.news(start + 5ms), start + 5ms);
+    CHECK_FALSE(one.blocked_for(bystander, start + 6ms).has_value());
+    CHECK(one.blocked_for(culprit, start + 6ms).has_value());
+}
+
 TEST_CASE("an answer clears a request everywhere, and old news doesn't count")
 {
     crash_suspects crashed;
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -128,10 +128,7 @@
     note_outcome(
         item,
         status >= 500 ? target_outcome::failed : target_outcome::answered);
-    if (m_suspects.has_suspects())
-    {
-        m_suspects.on_answered(fingerprint_of(item.m_request), clock_now());
-    }
+    m_suspects.on_answered(fingerprint_of(item.m_request), clock_now());
     auto const took = clock_now() - item.m_started_at;
     m_counts.observe_target(took);
     run_result result{
