--- a/src/hibload/callers.cpp
+++ b/src/hibload/callers.cpp
@@ -7,11 +7,9 @@
 #include <map>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "net/headers.hpp"
 
@@ -26,7 +24,7 @@
 using clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 constexpr std::string_view call_id = "Call-Id";
 constexpr std::size_t answer_repeats = 8;
--- a/src/hibload/capacity.cpp
+++ b/src/hibload/capacity.cpp
@@ -9,10 +9,8 @@
 
 #include <unistd.h>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include <hibiscustide/core/json_reader.hpp>
@@ -36,7 +34,7 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 // As in letter sizes: 5,700 targets in 950 services and 8 failure domains.
 constexpr std::size_t targets_per_service = 6;
--- a/src/hibload/experiments.cpp
+++ b/src/hibload/experiments.cpp
@@ -7,10 +7,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <fmt/format.h>
 
@@ -27,7 +25,7 @@
 namespace asio = net::asio;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 // A rest between two restarts, so that each is met by a whole region.
 constexpr milliseconds between_restarts{300};
--- a/src/hibload/fleet_run.cpp
+++ b/src/hibload/fleet_run.cpp
@@ -4,9 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/core/json_reader.hpp>
 #include <hibiscustide/core/orders/key_age.hpp>
@@ -25,7 +23,7 @@
 namespace asio = net::asio;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 constexpr milliseconds start_limit{20'000};
 constexpr milliseconds check_interval{20};
--- a/src/hibload/links.cpp
+++ b/src/hibload/links.cpp
@@ -6,7 +6,6 @@
 #include <set>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,9 +13,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "net/http_types.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::load
@@ -28,8 +27,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using clock = std::chrono::steady_clock;
+using net::no_throw;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t chunk_bytes = 16'384;
 
 // What has been read and is not due yet.
--- a/src/hibplatform/platform_server.cpp
+++ b/src/hibplatform/platform_server.cpp
@@ -4,8 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <json/value.h>
 
 #include <hibiscustide/core/json_reader.hpp>
@@ -24,7 +22,7 @@
 using net::status;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 constexpr std::string_view values_path = "/v1/values/";
 constexpr std::string_view watch_path = "/v1/watch/";
--- a/src/hibtarget/target_server.cpp
+++ b/src/hibtarget/target_server.cpp
@@ -5,9 +5,7 @@
 #include <cstdlib>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <json/value.h>
 
 #include <hibiscustide/core/json_reader.hpp>
@@ -28,7 +26,7 @@
 using net::field;
 using net::status;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 // Requests served that warm a cold target by one slot.
 constexpr std::uint32_t served_per_slot = 4;
--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -112,6 +112,12 @@
 [[nodiscard]] double expected_cost(
     placement_candidate const& candidate, duration usual_work, time_point now);
 
+/// The least expected cost of the candidates that are there and have room now;
+/// infinity where none is.
+[[nodiscard]] double least_cost(
+    std::span<placement_candidate const> candidates, duration usual_work,
+    time_point now);
+
 /// The position of the candidate with the least expected cost; targets that
 /// are left out only where no other is there. Nothing where all are excluded.
 /// `tie` rotates the order, so that nodes that see the same don't all choose
--- /dev/null
+++ b/src/libhibiscustide/core/retry/return_time_test.cpp
@@ -0,0 +1,32 @@
+#include <hibiscustide/core/retry/return_time.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+#include <doctest/doctest.h>
+
+namespace retry = hibiscustide::core::retry;
+using namespace std::chrono_literals;
+
+TEST_CASE("nobody comes back before room is expected, nor at once")
+{
+    CHECK(retry::return_after(0ms, 0.0) == retry::least_return);
+    CHECK(retry::return_after(800ms, 0.0) == 800ms);
+    CHECK(retry::return_after(800ms, 1.0) == 1'200ms);
+}
+
+TEST_CASE("replay of a burst: callers refused together come back spread")
+{
+    constexpr std::size_t callers = 1'000;
+    std::mt19937_64 random{3};
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
+    // Room comes free after 400 ms; counted in spans of 20 ms from then on.
+    std::array<std::size_t, 11> returns{};
+    for (std::size_t n = 0; n < callers; ++n)
+    {
+        auto const after = retry::return_after(400ms, draw(random)) - 400ms;
+        ++returns.at(static_cast<std::size_t>(after / 20ms));
+    }
+    CHECK(*std::max_element(returns.begin(), returns.end()) < callers / 6);
+}
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -141,6 +141,37 @@
     return cost + (candidate.m_same_domain ? 0.0 : distance_cost);
 }
 
+// Whether the candidate's node is there, as far as is known.
+static bool is_there(placement_candidate const& candidate, time_point now)
+{
+    auto const& view = *candidate.m_view;
+    return candidate.m_answering && !view.is_left_out(now) &&
+           !view.is_silent(candidate.m_same_domain, now);
+}
+
+static bool has_room(target_report const& report)
+{
+    return report.m_open && (!report.m_cold || report.m_cold_left > 0);
+}
+
+double least_cost(
+    std::span<placement_candidate const> candidates, duration usual_work,
+    time_point now)
+{
+    double least = std::numeric_limits<double>::infinity();
+    for (auto const& candidate : candidates)
+    {
+        bool const may_be_chosen = !candidate.m_excluded &&
+                                   is_there(candidate, now) &&
+                                   has_room(candidate.m_view->report());
+        if (may_be_chosen)
+        {
+            least = std::min(least, expected_cost(candidate, usual_work, now));
+        }
+    }
+    return least;
+}
+
 std::optional<std::size_t> place(
     std::span<placement_candidate const> candidates, duration usual_work,
     std::size_t tie, time_point now)
@@ -158,16 +189,9 @@
         {
             continue;
         }
-        auto const& report = candidate.m_view->report();
-        bool const takes_work =
-            report.m_open && (!report.m_cold || report.m_cold_left > 0);
         double cost = expected_cost(candidate, usual_work, now);
-        bool const may_be_gone =
-            candidate.m_view->is_left_out(now) ||
-            candidate.m_view->is_silent(candidate.m_same_domain, now) ||
-            !candidate.m_answering;
-        cost += may_be_gone ? behind : 0.0;
-        cost += takes_work ? 0.0 : behind;
+        cost += is_there(candidate, now) ? 0.0 : behind;
+        cost += has_room(candidate.m_view->report()) ? 0.0 : behind;
         if (cost < least)
         {
             least = cost;
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -1,6 +1,7 @@
 #include <hibiscustide/core/routing/placement.hpp>
 
 #include <array>
+#include <cmath>
 #include <random>
 #include <vector>
 
@@ -159,6 +160,24 @@
     CHECK(followed.speed_at(start + 500ms).m_slowness == 700);
 }
 
+TEST_CASE("the least cost counts only targets that are there and have room")
+{
+    auto closed_report = make_report(0);
+    closed_report.m_open = false;
+    auto const closed = make_view(closed_report);
+    routing::target_view const unheard;
+    auto const busy = make_view(make_report(5));
+    std::vector<routing::placement_candidate> candidates{
+        {.m_view = &closed},
+        {.m_view = &unheard},
+        {.m_view = &busy, .m_same_domain = true}};
+    auto const expected =
+        routing::expected_cost(candidates.back(), 100ms, start);
+    CHECK(routing::least_cost(candidates, 100ms, start) == expected);
+    candidates.back().m_excluded = true;
+    CHECK(std::isinf(routing::least_cost(candidates, 100ms, start)));
+}
+
 TEST_CASE("equal targets are chosen in turn by the tie")
 {
     auto const one = make_view(make_report(0));
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -5,8 +5,6 @@
 #include <string_view>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -18,8 +16,6 @@
 namespace
 {
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 core::reason reason_for(beast::error_code error, call_scope const* scope)
 {
     if (scope != nullptr && scope->is_cancelled())
--- a/src/libhibiscustide/net/connection_pool_test.cpp
+++ b/src/libhibiscustide/net/connection_pool_test.cpp
@@ -2,11 +2,9 @@
 
 #include <string>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -19,7 +17,7 @@
 namespace
 {
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+using net::no_throw;
 
 // A server that answers each request with the same bytes, then closes.
 class canned_server
--- a/src/libhibiscustide/net/gate.cpp
+++ b/src/libhibiscustide/net/gate.cpp
@@ -2,9 +2,7 @@
 
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/core/admission/measuring_budget.hpp>
 #include <hibiscustide/net/event_log.hpp>
@@ -21,7 +19,6 @@
 using core::admission::run_result;
 using core::observe::event;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view refused_draining = "draining";
 
 run_result result_of(core::verdict const& verdict)
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -18,8 +16,6 @@
 namespace http = beast::http;
 
 constexpr std::size_t first_read_bytes = 2'048;
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 // Reads the rest of a message into the parser; the stream's expiry is set.
 template <typename Parser>
 auto read_message(
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -4,11 +4,9 @@
 #include <map>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "net/clock.hpp"
 #include "net/socket.hpp"
@@ -19,8 +17,6 @@
 namespace
 {
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 // How long to wait when no more descriptors can be had.
 constexpr std::chrono::milliseconds accept_pause{50};
 
--- a/src/libhibiscustide/net/http_types.hpp
+++ b/src/libhibiscustide/net/http_types.hpp
@@ -4,8 +4,10 @@
 #ifndef HIBISCUSTIDE_NET_HTTP_TYPES_HPP
 #define HIBISCUSTIDE_NET_HTTP_TYPES_HPP
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -25,6 +27,9 @@
 template <typename Value>
 using awaitable = asio::awaitable<Value>;
 
+/// Makes an operation give its error as a value in place of throwing it.
+inline constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+
 } // namespace hibiscustide::net
 
 #endif
--- a/src/libhibiscustide/net/ingress.cpp
+++ b/src/libhibiscustide/net/ingress.cpp
@@ -6,9 +6,7 @@
 #include <optional>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/core/routing/routes.hpp>
 
@@ -24,8 +22,6 @@
 using core::reason;
 using core::release::request_class;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 // Attempts at one call, the first included.
 constexpr std::size_t max_attempts = 4;
 
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -354,55 +354,54 @@
 
 neighbour_ptr call::choose(core::time_point now) const
 {
-    auto const& members =
-        m_environment.m_neighbours.members_of(m_options.m_request.m_service);
+    auto const candidates = list_candidates(
+        now,
+        [this](neighbour const& node)
+        {
+            return contains(m_refused, &node) || contains(m_failed, &node);
+        });
+    auto const tie = static_cast<std::size_t>(m_environment.m_random());
+    auto const position =
+        core::routing::place(candidates, m_options.m_usual_work, tie, now);
+    return position ? members()[*position] : nullptr;
+}
+
+double call::best_other_cost(core::time_point now) const
+{
+    auto const candidates = list_candidates(
+        now,
+        [this](neighbour const& node)
+        {
+            return std::any_of(
+                m_attempts.begin(), m_attempts.end(),
+                [&node](attempt const& each)
+                {
+                    return each.m_node.get() == &node;
+                });
+        });
+    return core::routing::least_cost(candidates, m_options.m_usual_work, now);
+}
+
+std::vector<core::routing::placement_candidate> call::list_candidates(
+    core::time_point now,
+    std::function<bool(neighbour const&)> const& is_excluded) const
+{
     std::vector<core::routing::placement_candidate> candidates;
-    candidates.reserve(members.size());
-    for (auto const& node : members)
+    candidates.reserve(members().size());
+    for (auto const& node : members())
     {
         candidates.push_back(
             {.m_view = &node->m_view,
              .m_same_domain = node->m_same_domain,
-             .m_excluded = contains(m_refused, node.get()) ||
-                           contains(m_failed, node.get()),
+             .m_excluded = is_excluded(*node),
              .m_answering = node->is_answering(now)});
     }
-    auto const tie = static_cast<std::size_t>(m_environment.m_random());
-    auto const position =
-        core::routing::place(candidates, m_options.m_usual_work, tie, now);
-    return position ? members[*position] : nullptr;
+    return candidates;
 }
 
-double call::best_other_cost(core::time_point now) const
+std::vector<neighbour_ptr> const& call::members() const
 {
-    constexpr double nobody = 1e9;
-    auto const& members =
-        m_environment.m_neighbours.members_of(m_options.m_request.m_service);
-    double least = nobody;
-    for (auto const& node : members)
-    {
-        auto const& report = node->m_view.report();
-        bool const is_used = std::any_of(
-            m_attempts.begin(), m_attempts.end(),
-            [&node](attempt const& each)
-            {
-                return each.m_node == node;
-            });
-        bool const is_out = is_used || !report.m_open ||
-                            node->m_view.is_left_out(now) ||
-                            node->m_view.is_silent(node->m_same_domain, now) ||
-                            !node->is_answering(now) ||
-                            (report.m_cold && report.m_cold_left == 0);
-        if (!is_out)
-        {
-            least = std::min(
-                least, core::routing::expected_cost(
-                           {.m_view = &node->m_view,
-                            .m_same_domain = node->m_same_domain},
-                           m_options.m_usual_work, now));
-        }
-    }
-    return least;
+    return m_environment.m_neighbours.members_of(m_options.m_request.m_service);
 }
 
 bool call::may_repeat() const
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -4,6 +4,7 @@
 #define HIBISCUSTIDE_NET_MESH_CALL_HPP
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -91,6 +92,11 @@
     void cancel_attempts();
     [[nodiscard]] neighbour_ptr choose(core::time_point now) const;
     [[nodiscard]] double best_other_cost(core::time_point now) const;
+    [[nodiscard]] std::vector<core::routing::placement_candidate>
+    list_candidates(
+        core::time_point now,
+        std::function<bool(neighbour const&)> const& is_excluded) const;
+    [[nodiscard]] std::vector<neighbour_ptr> const& members() const;
     [[nodiscard]] bool may_repeat() const;
     [[nodiscard]] std::size_t running() const;
 
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/net/event_log.hpp>
 
@@ -21,8 +19,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 // One call that waits; short enough that a reader whose calls go unanswered is
 // replaced in time.
 constexpr milliseconds watch_wait{2'500};
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <hibiscustide/core/retry/return_time.hpp>
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
@@ -24,7 +23,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds tick_interval{25};
 
 // A caller that names no deadline waits this long.
@@ -36,11 +34,8 @@
 // Weight of one answer in the usual work of its route.
 constexpr double work_weight = 0.05;
 
-// When a caller comes back after a refusal: no sooner than room can come free,
-// and spread, so that those refused together don't return together.
-constexpr milliseconds least_retry_after{100};
+// When a caller comes back that came before any configuration.
 constexpr milliseconds no_configuration_retry_after{300};
-constexpr double retry_spread = 0.5;
 
 core::verdict to_verdict(run_result const& result)
 {
@@ -283,13 +278,11 @@
             is_late ? status::gateway_timeout : status::bad_gateway, attempt,
             result.m_reason, {});
     }
-    std::uniform_real_distribution<double> spread{0.0, retry_spread};
-    auto const wait =
-        std::max(milliseconds{result.m_retry_after_ms}, least_retry_after);
-    auto const more =
-        std::chrono::duration_cast<milliseconds>(wait * spread(m_random));
+    std::uniform_real_distribution<double> draw{0.0, 1.0};
     return refuse(
-        status::service_unavailable, attempt, result.m_reason, wait + more);
+        status::service_unavailable, attempt, result.m_reason,
+        core::retry::return_after(
+            milliseconds{result.m_retry_after_ms}, draw(m_random)));
 }
 
 http_response dispatcher::refuse(
--- a/src/libhibiscustide/net/mesh/frame_stream.cpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -4,10 +4,8 @@
 #include <string_view>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include "net/clock.hpp"
@@ -20,7 +18,6 @@
 namespace
 {
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_bytes = 4'096;
 
 } // namespace
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -3,10 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <hibiscustide/net/event_log.hpp>
@@ -23,8 +21,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 constexpr milliseconds connect_limit{500};
 constexpr milliseconds reconnect_pause{60};
 constexpr milliseconds watch_interval{100};
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -3,10 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "net/clock.hpp"
 #include "net/socket.hpp"
@@ -19,7 +17,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds accept_pause{50};
 
 // A sender that lost its connection asks again within this time, or its
--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -4,10 +4,8 @@
 #include <array>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "net/clock.hpp"
 #include "net/mesh/codec.hpp"
@@ -20,7 +18,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t max_datagram = 1'024;
 constexpr milliseconds receive_pause{50};
 
--- a/src/libhibiscustide/net/mesh/target_gate_state.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_state.cpp
@@ -4,9 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
@@ -21,7 +18,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned http_1_1 = 11;
 constexpr milliseconds probe_limit{400};
 
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -4,13 +4,11 @@
 #include <csignal>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/net/event_log.hpp>
 
@@ -32,8 +30,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 // How long nodes from the settings have to answer before the service is read:
 // one that runs answers at once; at the first start of the fleet all begin
 // within a third of a second.
--- a/src/libhibiscustide/net/node.cpp
+++ b/src/libhibiscustide/net/node.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -35,8 +34,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 constexpr milliseconds drain_check_interval{20};
 
 // The time that a client which has just connected has to send its request.
--- a/src/libhibiscustide/net/note_sync.cpp
+++ b/src/libhibiscustide/net/note_sync.cpp
@@ -4,11 +4,9 @@
 #include <optional>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <hibiscustide/core/json_reader.hpp>
 #include <hibiscustide/net/event_log.hpp>
@@ -24,8 +22,6 @@
 using core::observe::event;
 using std::chrono::milliseconds;
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
-
 constexpr char const* head_key = "release/head";
 constexpr char const* checkpoint_key = "release/checkpoint";
 constexpr char const* note_key_prefix = "release/notes/";
