--- a/src/hibload/links.cpp
+++ b/src/hibload/links.cpp
@@ -1,20 +1,16 @@
 #include "links.hpp"
 
-#include <array>
-#include <deque>
 #include <future>
 #include <set>
 #include <utility>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 
+#include "link_connection.hpp"
 #include "net/http_types.hpp"
 #include "net/socket.hpp"
 
@@ -24,134 +20,8 @@
 namespace
 {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-using clock = std::chrono::steady_clock;
 using net::no_throw;
 
-constexpr std::size_t chunk_bytes = 16'384;
-
-// What has been read and is not due yet.
-struct chunk
-{
-    clock::time_point m_due;
-    std::vector<char> m_bytes; ///< Empty for the end of the stream.
-};
-
-// One direction of one connection.
-struct direction
-{
-    direction(asio::io_context& context, tcp::socket& from, tcp::socket& to)
-        : m_from{from},
-          m_to{to},
-          m_wake{context}
-    {
-    }
-
-    tcp::socket& m_from;
-    tcp::socket& m_to;
-    std::deque<chunk> m_chunks;
-    asio::steady_timer m_wake;
-};
-
-struct connection
-{
-    connection(asio::io_context& context, tcp::socket client)
-        : m_client{std::move(client)},
-          m_server{context},
-          m_up{context, m_client, m_server},
-          m_down{context, m_server, m_client}
-    {
-    }
-
-    void close()
-    {
-        boost::system::error_code ignored;
-        m_client.close(ignored);
-        m_server.close(ignored);
-        m_closed = true;
-        wake();
-    }
-
-    void wake()
-    {
-        m_up.m_wake.cancel();
-        m_down.m_wake.cancel();
-    }
-
-    tcp::socket m_client;
-    tcp::socket m_server;
-    direction m_up;
-    direction m_down;
-    std::string m_from_domain;
-    std::string m_to_domain;
-    std::chrono::microseconds m_delay{0};
-    link_fault m_fault = link_fault::none;
-    bool m_closed = false;
-};
-
-using connection_ptr = std::shared_ptr<connection>;
-
-// Reads what arrives and notes when it is due at the other end.
-asio::awaitable<void> read_side(connection_ptr owner, direction& way)
-{
-    std::array<char, chunk_bytes> buffer{};
-    while (!owner->m_closed)
-    {
-        auto const [error, count] =
-            co_await way.m_from.async_read_some(asio::buffer(buffer), no_throw);
-        auto const due = clock::now() + owner->m_delay;
-        way.m_chunks.push_back(
-            {.m_due = due, .m_bytes = {buffer.data(), buffer.data() + count}});
-        way.m_wake.cancel();
-        if (error)
-        {
-            co_return;
-        }
-    }
-}
-
-// Writes what is due. A held link keeps it, a silent one drops it.
-asio::awaitable<void> write_side(connection_ptr owner, direction& way)
-{
-    while (!owner->m_closed)
-    {
-        bool const waits =
-            way.m_chunks.empty() || owner->m_fault == link_fault::hold;
-        if (waits)
-        {
-            way.m_wake.expires_at(clock::time_point::max());
-            co_await way.m_wake.async_wait(no_throw);
-            continue;
-        }
-        if (way.m_chunks.front().m_due > clock::now())
-        {
-            way.m_wake.expires_at(way.m_chunks.front().m_due);
-            co_await way.m_wake.async_wait(no_throw);
-            continue;
-        }
-        auto const next = std::move(way.m_chunks.front());
-        way.m_chunks.pop_front();
-        if (owner->m_fault == link_fault::silent)
-        {
-            continue;
-        }
-        if (next.m_bytes.empty())
-        {
-            boost::system::error_code ignored;
-            way.m_to.shutdown(tcp::socket::shutdown_send, ignored);
-            co_return;
-        }
-        auto const [error, count] = co_await asio::async_write(
-            way.m_to, asio::buffer(next.m_bytes), no_throw);
-        static_cast<void>(count);
-        if (error)
-        {
-            owner->close();
-        }
-    }
-}
-
 std::pair<std::string, std::string> ordered(
     std::string const& one, std::string const& other)
 {
