Hop: identify gate and connection before a request's outcome is stated

Two more ways to the same false statement were found while reading: a delayed older connection could replace a newer one, and its requests then ran after they had been reported as unknown; and the record of a request was removed 15 s after its end whatever the sender still asked.

Change: a link sends requests only after the gate's hello has arrived on the connection. The hello has the number of the connection, and a gate closes one that is older than the newest of its sender (sender_table). A request whose record may have been removed is reported as possibly run.

The test of an unresponsive connection now has the gate identify itself first; it also checks the connection numbers.

--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -217,6 +217,7 @@
     {
         visit(value.m_node);
         visit(value.m_incarnation);
+        visit(value.m_connection);
     }
     else if constexpr (std::is_same_v<type, run_request>)
     {
--- a/src/libhibiscustide/net/mesh/codec_test.cpp
+++ b/src/libhibiscustide/net/mesh/codec_test.cpp
@@ -34,7 +34,8 @@
         .m_revision = 9,
         .m_items = {{.m_key = "k", .m_value = "v", .m_revision = 9}}};
     return {
-        mesh::hello{.m_node = "10.0.0.1", .m_incarnation = 8},
+        mesh::hello{
+            .m_node = "10.0.0.1", .m_incarnation = 8, .m_connection = 3},
         request,
         result,
         mesh::cancel_request{.m_id = 4},
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -69,11 +69,11 @@
         .m_reconnect_deadline = now + std::min(timeout, left),
         .m_message = std::move(request)};
     auto const it = m_pending.emplace(id, std::move(added)).first;
-    if (m_stream)
+    if (m_stream && m_greeted)
     {
         send_now(it->second);
     }
-    else
+    else if (!m_stream)
     {
         start_connecting();
     }
@@ -88,7 +88,7 @@
     {
         return;
     }
-    bool const sent = it->second.is_sent();
+    bool const sent = it->second.m_sent;
     m_pending.erase(it);
     if (sent && m_stream)
     {
@@ -121,7 +121,7 @@
     for (auto const& [id, request] : pending)
     {
         request.m_done(
-            failed_result(request.is_sent(), core::reason::peer_unreachable));
+            failed_result(request.m_sent, core::reason::peer_unreachable));
     }
 }
 
@@ -182,7 +182,8 @@
             break;
         }
         m_changes_requested = false;
-        fail_expired(clock_now(), true);
+        fail_unsent();
+        fail_expired(clock_now());
         retry = !m_pending.empty();
         if (retry)
         {
@@ -251,32 +252,13 @@
     co_return true;
 }
 
-// Sends the hello of this node, requests the outcomes of the requests that were
-// sent on earlier connections, and sends the requests that are not sent yet.
 void peer_link::on_connected()
 {
-    ++m_connection_number;
     m_ping_sent_at.reset();
-    m_stream->send(m_options.m_hello);
-    resume_requests resume;
-    for (auto const& [id, request] : m_pending)
-    {
-        if (request.is_sent())
-        {
-            resume.m_ids.push_back(id);
-        }
-    }
-    if (!resume.m_ids.empty())
-    {
-        m_stream->send(resume);
-    }
-    for (auto& [id, request] : m_pending)
-    {
-        if (!request.is_sent())
-        {
-            send_now(request);
-        }
-    }
+    m_greeted = false;
+    auto greeting = m_options.m_hello;
+    greeting.m_connection = ++m_connection_number;
+    m_stream->send(greeting);
     if (std::exchange(m_changes_requested, false))
     {
         m_stream->send(changes_request{.m_after = m_requested_after});
@@ -290,9 +272,12 @@
         m_monitor_timer.expires_after(monitor_interval);
         co_await m_monitor_timer.async_wait(no_throw);
         auto const now = clock_now();
+        if (!m_greeted)
+        {
+            fail_expired(now);
+        }
         if (!m_stream)
         {
-            fail_expired(now, false);
             continue;
         }
         if (m_ping_sent_at && m_stream->last_received_at() >= *m_ping_sent_at)
@@ -338,20 +323,29 @@
     }
 }
 
-// A gate that has restarted has no record of the requests that were sent on
-// earlier connections, so they may have run. The gate has records of the
-// requests that were sent on the new connection.
 void peer_link::on_hello(hello const& greeting)
 {
     auto const previous = std::exchange(m_incarnation, greeting.m_incarnation);
-    if (previous == 0 || previous == greeting.m_incarnation)
+    m_greeted = true;
+    if (previous != greeting.m_incarnation)
     {
-        return;
+        fail_lost_requests();
     }
+    if (m_stream)
+    {
+        resume_sent_requests();
+        send_unsent_requests();
+    }
+}
+
+// A gate that has restarted has no record of the requests that were sent to its
+// predecessor, so they may have run.
+void peer_link::fail_lost_requests()
+{
     std::vector<std::uint64_t> lost;
     for (auto const& [id, request] : m_pending)
     {
-        if (request.is_sent() && request.m_sent_on < m_connection_number)
+        if (request.m_sent)
         {
             lost.push_back(id);
         }
@@ -362,9 +356,38 @@
     }
 }
 
+// Asks for the outcomes of the requests that were sent on earlier connections.
+void peer_link::resume_sent_requests()
+{
+    resume_requests resume;
+    for (auto const& [id, request] : m_pending)
+    {
+        if (request.m_sent)
+        {
+            resume.m_ids.push_back(id);
+        }
+    }
+    if (!resume.m_ids.empty())
+    {
+        m_stream->send(resume);
+    }
+}
+
+void peer_link::send_unsent_requests()
+{
+    for (auto& [id, request] : m_pending)
+    {
+        if (!request.m_sent)
+        {
+            send_now(request);
+        }
+    }
+}
+
 void peer_link::on_closed()
 {
     m_stream = nullptr;
+    m_greeted = false;
     if (m_pending.empty() || m_closed)
     {
         return;
@@ -393,27 +416,44 @@
 void peer_link::send_now(pending_request& request)
 {
     m_stream->send(std::exchange(request.m_message, ping{}));
-    request.m_sent_on = m_connection_number;
+    request.m_sent = true;
 }
 
-// Ends the requests whose deadline for reaching the gate has passed. After a
-// failed attempt to connect, also ends all requests that were never sent.
-void peer_link::fail_expired(core::time_point now, bool connect_failed)
+// Ends the requests whose deadline for reaching the gate has passed. If a
+// connection exists, a request that was sent is resumed on it and has no such
+// deadline.
+void peer_link::fail_expired(core::time_point now)
 {
     std::vector<std::uint64_t> expired;
     for (auto const& [id, request] : m_pending)
     {
-        bool const unsent = connect_failed && !request.is_sent();
-        if (unsent || now >= request.m_reconnect_deadline)
+        bool const is_waiting = !m_stream || !request.m_sent;
+        if (is_waiting && now >= request.m_reconnect_deadline)
         {
             expired.push_back(id);
         }
     }
     for (auto const id : expired)
     {
-        bool const sent = m_pending.at(id).is_sent();
+        bool const sent = m_pending.at(id).m_sent;
         complete(id, failed_result(sent, core::reason::peer_unreachable));
     }
 }
 
+void peer_link::fail_unsent()
+{
+    std::vector<std::uint64_t> unsent;
+    for (auto const& [id, request] : m_pending)
+    {
+        if (!request.m_sent)
+        {
+            unsent.push_back(id);
+        }
+    }
+    for (auto const id : unsent)
+    {
+        complete(id, failed_result(false, core::reason::peer_unreachable));
+    }
+}
+
 } // namespace hibiscustide::net::mesh
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -34,6 +34,10 @@
 /// them at its target, and receives their results over a connection that is
 /// opened on first use.
 ///
+/// Requests are sent on a connection only after the hello of the gate has
+/// arrived on it, since its incarnation shows later whether the gate has
+/// restarted and lost them.
+///
 /// A connection that breaks or stops responding is replaced, and the outcomes
 /// of the requests that were sent on it are requested from the gate. So a lost
 /// connection alone leaves no outcome unknown. The outcome of a request is
@@ -74,14 +78,7 @@
         /// When the request fails if the gate cannot be reached.
         core::time_point m_reconnect_deadline;
         message m_message; ///< Kept until it is sent.
-        /// Number of the connection that the request was sent on; 0 if it was
-        /// not sent.
-        std::uint64_t m_sent_on = 0;
-
-        [[nodiscard]] bool is_sent() const noexcept
-        {
-            return m_sent_on != 0;
-        }
+        bool m_sent = false;
     };
 
     awaitable<void> connect_loop();
@@ -92,10 +89,14 @@
     void on_connected();
     void on_message(message&& value);
     void on_hello(hello const& greeting);
+    void fail_lost_requests();
+    void resume_sent_requests();
+    void send_unsent_requests();
     void on_closed();
     /// Removes the request and passes the result to its handler.
     void complete(std::uint64_t id, run_result result);
-    void fail_expired(core::time_point now, bool connect_failed);
+    void fail_expired(core::time_point now);
+    void fail_unsent();
     void send_now(pending_request& request);
 
     asio::io_context& m_context;
@@ -112,6 +113,8 @@
     std::optional<core::time_point> m_ping_sent_at;
     std::uint64_t m_requested_after = 0;
     bool m_changes_requested = false;
+    /// Whether the hello of the gate has arrived on the current connection.
+    bool m_greeted = false;
     bool m_connecting = false;
     bool m_monitoring = false;
     bool m_closed = false;
--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -52,8 +52,8 @@
         }
     }
 
-    // If set, the gate sends nothing on connections that it accepts from now
-    // on.
+    // If set, the gate sends nothing from now on: no answer on the present
+    // connection, and no hello on connections that it accepts.
     void set_unresponsive(bool unresponsive)
     {
         m_unresponsive = unresponsive;
@@ -72,6 +72,7 @@
 
     std::vector<std::uint64_t> m_requests;
     std::vector<std::uint64_t> m_resumed;
+    std::vector<std::uint64_t> m_connection_numbers;
     int m_connections = 0;
 
 private:
@@ -87,13 +88,11 @@
             }
             ++m_connections;
             m_stream = std::make_shared<mesh::frame_stream>(std::move(socket));
+            std::weak_ptr<mesh::frame_stream> const stream = m_stream;
             m_stream->start(
-                [this, unresponsive = m_unresponsive](mesh::message&& value)
+                [this, stream](mesh::message&& value)
                 {
-                    if (!unresponsive)
-                    {
-                        on_message(value);
-                    }
+                    on_message(stream, value);
                 },
                 [] {});
             if (!m_unresponsive)
@@ -105,8 +104,14 @@
         }
     }
 
-    void on_message(mesh::message const& value)
+    void on_message(
+        std::weak_ptr<mesh::frame_stream> const& stream,
+        mesh::message const& value)
     {
+        if (auto const* const greeting = std::get_if<mesh::hello>(&value))
+        {
+            m_connection_numbers.push_back(greeting->m_connection);
+        }
         if (auto const* const request = std::get_if<mesh::run_request>(&value))
         {
             m_requests.push_back(request->m_id);
@@ -116,9 +121,11 @@
         {
             m_resumed = resume->m_ids;
         }
-        if (std::holds_alternative<mesh::ping>(value))
+        auto const open_stream = stream.lock();
+        bool const is_ping = std::holds_alternative<mesh::ping>(value);
+        if (is_ping && open_stream && !m_unresponsive)
         {
-            m_stream->send(mesh::ping{.m_is_answer = true});
+            open_stream->send(mesh::ping{.m_is_answer = true});
         }
     }
 
@@ -219,12 +226,15 @@
 TEST_CASE("an unresponsive connection is replaced and its requests are resumed")
 {
     fixture test;
-    test.m_gate.set_unresponsive(true);
     auto const id = test.run(false);
-    test.wait(500ms);
+    test.wait(50ms);
+    REQUIRE(test.m_gate.m_requests == std::vector{id});
+    test.m_gate.set_unresponsive(true);
+    test.wait(800ms);
     test.m_gate.set_unresponsive(false);
-    test.wait(1'200ms);
+    test.wait(900ms);
     REQUIRE(test.m_gate.m_resumed == std::vector{id});
+    CHECK(test.m_gate.m_connection_numbers == std::vector<std::uint64_t>{1, 2});
     CHECK(test.m_results.empty());
     test.m_gate.refuse(id);
     test.wait(50ms);
@@ -232,6 +242,36 @@
     CHECK(test.m_results.front().m_outcome == mesh::outcome::not_run);
 }
 
+// The gate runs the request, but its hello and its answer are delayed, and then
+// it restarts. If the link had sent the request before the hello, it could not
+// know that the restarted gate is another one, and would take its answer that
+// the request is unknown for "not run".
+TEST_CASE("a request is not sent to a gate that has not identified itself")
+{
+    fixture test;
+    test.m_gate.set_unresponsive(true);
+    auto const id = test.run(false);
+    test.wait(100ms);
+    CHECK(test.m_gate.m_requests.empty());
+    test.m_gate.restart();
+    test.m_gate.set_unresponsive(false);
+    test.wait(200ms);
+    CHECK(test.m_gate.m_requests == std::vector{id});
+    CHECK(test.m_gate.m_resumed.empty());
+    CHECK(test.m_results.empty());
+}
+
+TEST_CASE("an idempotent request does not wait long for a gate's hello")
+{
+    fixture test;
+    test.m_gate.set_unresponsive(true);
+    test.run(true);
+    test.wait(550ms);
+    REQUIRE(test.m_results.size() == 1);
+    CHECK(test.m_results.front().m_outcome == mesh::outcome::not_run);
+    CHECK(test.m_results.front().m_reason == core::reason::peer_unreachable);
+}
+
 TEST_CASE("a connection that was idle is not treated as unresponsive")
 {
     fixture test;
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -27,8 +27,8 @@
 // request is reported as possibly run.
 constexpr milliseconds result_retention{3'000};
 
-// How long the id of a request is kept after its end. An unknown request is
-// reported as not run, so the id is kept longer than any caller waits.
+// How long the id of a request is kept after its end, so that a repeated
+// question about its outcome gets the same answer.
 constexpr milliseconds id_retention{15'000};
 constexpr milliseconds cleanup_interval{1'000};
 
@@ -82,22 +82,29 @@
     {
         timer.expires_after(cleanup_interval);
         co_await timer.async_wait(no_throw);
-        auto const now = clock_now();
-        for (auto& [key, state] : m_requests)
+        remove_old_records(clock_now());
+    }
+}
+
+void peer_server::remove_old_records(core::time_point now)
+{
+    for (auto it = m_requests.begin(); it != m_requests.end();)
+    {
+        auto& [key, state] = *it;
+        auto const age = now - state.m_ended_at;
+        if (state.m_ended && age > result_retention)
         {
-            if (state.m_ended && now - state.m_ended_at > result_retention)
-            {
-                state.m_result.reset();
-            }
+            state.m_result.reset();
         }
-        std::erase_if(
-            m_requests,
-            [now](auto const& entry)
-            {
-                return entry.second.m_ended &&
-                       now - entry.second.m_ended_at > id_retention;
-            });
+        if (!state.m_ended || age <= id_retention)
+        {
+            ++it;
+            continue;
+        }
+        m_senders.on_record_removed(key.m_incarnation, key.m_id, now);
+        it = m_requests.erase(it);
     }
+    m_senders.expire(now);
 }
 
 void peer_server::start_session(asio::ip::tcp::socket socket)
@@ -131,15 +138,7 @@
 {
     if (auto const* const greeting = std::get_if<hello>(&value))
     {
-        sender->m_incarnation = greeting->m_incarnation;
-        auto& current = m_sessions[greeting->m_incarnation];
-        if (current && current != sender)
-        {
-            // Requests that still arrive on the old connection must not run,
-            // since on the new connection they are reported as not run.
-            current->m_stream->close();
-        }
-        current = sender;
+        on_hello(sender, *greeting);
         return;
     }
     if (sender->m_incarnation == 0)
@@ -184,6 +183,27 @@
     }
 }
 
+// Only the newest connection of a sender is used. Requests that still arrive on
+// an older one must not run, since on the newest one they are reported as not
+// run.
+void peer_server::on_hello(session_ptr const& sender, hello const& greeting)
+{
+    bool const is_newest = m_senders.accept_connection(
+        greeting.m_incarnation, greeting.m_connection, clock_now());
+    if (!is_newest)
+    {
+        sender->m_stream->close();
+        return;
+    }
+    sender->m_incarnation = greeting.m_incarnation;
+    auto& current = m_sessions[greeting.m_incarnation];
+    if (current)
+    {
+        current->m_stream->close();
+    }
+    current = sender;
+}
+
 void peer_server::on_run(session_ptr const& sender, run_request&& request)
 {
     request_key const key{
@@ -206,19 +226,27 @@
     {
         auto const it = m_requests.find(
             {.m_incarnation = sender->m_incarnation, .m_id = id});
-        if (it == m_requests.end())
+        run_result const possibly_run{
+            .m_id = id,
+            .m_outcome = outcome::may_have_run,
+            .m_reason = core::reason::connection_broken,
+            .m_reached_target = true};
+        if (it != m_requests.end())
         {
-            sender->m_stream->send(run_result{
-                .m_id = id, .m_reason = core::reason::connection_broken});
+            if (it->second.m_ended)
+            {
+                sender->m_stream->send(
+                    it->second.m_result.value_or(possibly_run));
+            }
         }
-        else if (it->second.m_ended)
+        else if (m_senders.may_have_been_removed(sender->m_incarnation, id))
         {
-            run_result const possibly_run{
-                .m_id = id,
-                .m_outcome = outcome::may_have_run,
-                .m_reason = core::reason::connection_broken,
-                .m_reached_target = true};
-            sender->m_stream->send(it->second.m_result.value_or(possibly_run));
+            sender->m_stream->send(possibly_run);
+        }
+        else
+        {
+            sender->m_stream->send(run_result{
+                .m_id = id, .m_reason = core::reason::connection_broken});
         }
     }
 }
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -13,6 +13,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <hibiscustide/core/admission/sender_table.hpp>
+
 #include "net/mesh/frame_stream.hpp"
 #include "net/mesh/messages.hpp"
 #include "net/mesh/target_gate.hpp"
@@ -76,8 +78,10 @@
     awaitable<void> cleanup_loop();
     void start_session(asio::ip::tcp::socket socket);
     void on_message(session_ptr const& sender, message&& value);
+    void on_hello(session_ptr const& sender, hello const& greeting);
     void on_run(session_ptr const& sender, run_request&& request);
     void on_resume(session_ptr const& sender, resume_requests const& resume);
+    void remove_old_records(core::time_point now);
     void on_result(request_key const& key, run_result&& result);
     void on_closed(std::uint64_t incarnation);
     // Abandons the requests of a sender that has not reconnected in time.
@@ -87,6 +91,7 @@
     peer_server_options m_options;
     target_gate& m_gate;
     asio::ip::tcp::acceptor m_acceptor;
+    core::admission::sender_table m_senders;
     std::map<request_key, request_state> m_requests;
     std::map<std::uint64_t, session_ptr> m_sessions; ///< By sender incarnation.
 };
