Gate: learn the concurrency with the highest throughput

Cause: some targets take 1.7 times as long for requests that begin while more than four fifths of their slots are in use. In a burst the gate filled every slot, and 18 slots then give 18/1.7 = 10.6 answers for 14 at fewer slots.

Change: contention_model compares the processing times of requests by the load at which they began. A gate raises its concurrency in steps and measures a few requests at each; gates of the same service share the result in their reports, since the first seconds of a burst are too short for each to learn it.

--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -22,7 +22,7 @@
 {
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
-    std::uint32_t m_slots = 1; ///< Requests that the target may run at once.
+    std::uint32_t m_slots = 1; ///< Requests that its node runs at once.
     speed m_speed;
     std::uint32_t m_failure_percent = 0; ///< Of the recent requests.
     /// Requests that a cold target can still accept.
@@ -30,6 +30,9 @@
     /// Whether the target has just started and its request rate is limited.
     bool m_cold = false;
     bool m_open = true; ///< Whether the target accepts new requests.
+    /// The share of its slots with the highest throughput, in percent, as
+    /// measured at this target; 0 if it is not known.
+    std::uint32_t m_measured_share_percent = 0;
 
     friend auto operator<=>(target_report const&, target_report const&) =
         default;
--- a/src/libhibiscustide/net/mesh/codec_test.cpp
+++ b/src/libhibiscustide/net/mesh/codec_test.cpp
@@ -73,7 +73,11 @@
         .m_sequence = 6,
         .m_revision = 7,
         .m_is_reader = true,
-        .m_target = {.m_running = 3, .m_slots = 18, .m_cold = true},
+        .m_target =
+            {.m_running = 3,
+             .m_slots = 18,
+             .m_cold = true,
+             .m_measured_share_percent = 80},
         .m_crashes = {
             .m_crashes = {{.m_number = 2, .m_suspects = {7, 8}}},
             .m_cleared = {9}}};
--- a/src/libhibiscustide/net/mesh/node_table.cpp
+++ b/src/libhibiscustide/net/mesh/node_table.cpp
@@ -1,5 +1,6 @@
 #include "net/mesh/node_table.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -107,6 +108,28 @@
     return it == m_members.end() ? none : it->second;
 }
 
+std::optional<double> node_table::measured_share_of(
+    std::string_view service) const
+{
+    std::vector<std::uint32_t> percents;
+    for (auto const& node : members_of(service))
+    {
+        auto const percent = node->m_view.report().m_measured_share_percent;
+        if (!node->m_is_self && percent > 0)
+        {
+            percents.push_back(percent);
+        }
+    }
+    if (percents.empty())
+    {
+        return std::nullopt;
+    }
+    auto const middle = percents.begin() +
+                        static_cast<std::ptrdiff_t>((percents.size() - 1) / 2);
+    std::nth_element(percents.begin(), middle, percents.end());
+    return *middle / 100.0;
+}
+
 node_entry_ptr node_table::find(std::string const& address) const
 {
     auto const it = m_nodes.find(address);
--- a/src/libhibiscustide/net/mesh/node_table.hpp
+++ b/src/libhibiscustide/net/mesh/node_table.hpp
@@ -82,6 +82,11 @@
     [[nodiscard]] std::vector<node_entry_ptr> const& members_of(
         std::string_view service) const;
 
+    /// Median of the shares of the slots that the other nodes of the service
+    /// report as measured; nothing if none reports one.
+    [[nodiscard]] std::optional<double> measured_share_of(
+        std::string_view service) const;
+
     /// Returns the node with this address, or null.
     [[nodiscard]] node_entry_ptr find(std::string const& address) const;
 
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -203,7 +203,16 @@
             static_cast<std::uint32_t>(m_health.failure_share(now) * 100),
         .m_cold_budget = cold ? m_cold_limiter.available(now) : 0,
         .m_cold = cold,
-        .m_open = is_open};
+        .m_open = is_open,
+        .m_measured_share_percent = static_cast<std::uint32_t>(
+            m_contention.measured_share(now).value_or(0) * 100)};
+}
+
+void target_gate::set_share_of_peers(std::optional<double> share)
+{
+    m_contention.set_share_of_peers(share);
+    update_slots(clock_now());
+    start_queued_requests();
 }
 
 void target_gate::on_change(std::function<void()> handler)
@@ -237,6 +246,7 @@
     active->m_running = true;
     active->m_started_at = clock_now();
     active->m_slowness = m_health.speed(active->m_started_at).m_slowness;
+    active->m_running_at_start = m_queue.running();
     asio::co_spawn(
         m_context,
         [this, active]() -> awaitable<void>
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -15,6 +15,7 @@
 
 #include <hibiscustide/core/admission/admission_queue.hpp>
 #include <hibiscustide/core/admission/cold_rate_limiter.hpp>
+#include <hibiscustide/core/admission/contention_model.hpp>
 #include <hibiscustide/core/admission/poison_request_detector.hpp>
 #include <hibiscustide/core/admission/target_health.hpp>
 #include <hibiscustide/core/directory/directory.hpp>
@@ -81,6 +82,10 @@
 
     void set_directory(core::directory::directory_ptr const& current);
 
+    /// Sets the share of the slots that the gates of the service's other
+    /// targets have measured to give the highest throughput.
+    void set_share_of_peers(std::optional<double> share);
+
     /// Refuses all new requests, because the node is stopping.
     void begin_drain();
 
@@ -114,6 +119,7 @@
     void release_slot(active_request const& active);
     void refuse_queued(ticket which, core::reason why);
     void start_queued_requests();
+    void update_slots(core::time_point now);
     void update_entry();
     void on_target_ended();
     void check_suspension();
@@ -123,6 +129,9 @@
     [[nodiscard]] http_request to_http(active_request const& active) const;
     [[nodiscard]] run_result to_result(
         active_request const& active, exchange_result&& exchanged);
+    void record_processing_time(
+        active_request const& active, std::int64_t work_us,
+        core::time_point now);
     void record_outcome(
         active_request const& active, core::admission::target_outcome what);
 
@@ -139,6 +148,7 @@
     std::optional<core::directory::target> m_entry;
     std::string m_health_path;
     core::admission::admission_queue m_queue;
+    core::admission::contention_model m_contention;
     core::admission::cold_rate_limiter m_cold_limiter;
     core::admission::target_health m_health;
     std::map<ticket, std::shared_ptr<active_request>> m_requests;
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -134,13 +134,19 @@
         status >= 500 ? target_outcome::failed : target_outcome::answered);
     m_poison_detector.on_answered(
         fingerprint_of(active.m_request), clock_now());
-    auto const took = clock_now() - active.m_started_at;
+    auto const now = clock_now();
+    auto const took = now - active.m_started_at;
     m_counts.observe_target(took);
+    auto const work_us = at_usual_speed_us(took, active.m_slowness);
+    if (status < 500)
+    {
+        record_processing_time(active, work_us, now);
+    }
     run_result result{
         .m_outcome = outcome::answered,
         .m_reached_target = true,
         .m_status = status,
-        .m_work_us = at_usual_speed_us(took, active.m_slowness)};
+        .m_work_us = work_us};
     headers::remove_hop_by_hop(response);
     for (auto const& entry : response)
     {
@@ -157,6 +163,21 @@
     return result;
 }
 
+void target_gate::record_processing_time(
+    active_request const& active, std::int64_t work_us, core::time_point now)
+{
+    if (!m_entry || active.m_request.m_work_ms <= 0)
+    {
+        return;
+    }
+    auto const usual_us =
+        static_cast<double>(active.m_request.m_work_ms * 1000);
+    m_contention.on_answered(
+        active.m_running_at_start, m_entry->m_slots,
+        static_cast<double>(work_us) / usual_us, now);
+    update_slots(now);
+}
+
 void target_gate::record_outcome(
     active_request const& active, target_outcome what)
 {
--- a/src/libhibiscustide/net/mesh/target_gate_internal.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate_internal.hpp
@@ -29,6 +29,8 @@
     cancel_scope m_scope;
     /// Slowness of the target when the request was started, in percent.
     std::uint32_t m_slowness = 100;
+    /// Requests that the target ran when this one was started, itself included.
+    std::uint32_t m_running_at_start = 0;
     bool m_running = false;
     bool m_cancelled = false;
 };
--- a/src/libhibiscustide/net/mesh/target_gate_state.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_state.cpp
@@ -142,6 +142,15 @@
     }
 }
 
+// Uses as many of the target's slots as give the highest throughput.
+void target_gate::update_slots(core::time_point now)
+{
+    if (m_entry)
+    {
+        m_queue.set_slots(m_contention.best_concurrency(m_entry->m_slots, now));
+    }
+}
+
 // Looks up the target's directory entry by its address. If several targets are
 // registered at the address, uses the instance that answers the probes.
 void target_gate::update_entry()
@@ -168,7 +177,7 @@
     {
         m_entry->m_instance = m_health.instance();
     }
-    m_queue.set_slots(m_entry->m_slots);
+    update_slots(clock_now());
     auto const* const service = core::directory::find_service(
         m_directory->config(), m_entry->m_service);
     if (service == nullptr)
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -266,7 +266,15 @@
         return;
     }
     auto const now = clock_now();
+    auto const previous = m_nodes.find(address);
+    auto const previous_share =
+        previous ? previous->m_view.report().m_measured_share_percent : 0;
     m_nodes.on_status(address, status, now);
+    if (status.m_target.m_measured_share_percent != previous_share)
+    {
+        m_gate.set_share_of_peers(
+            m_nodes.measured_share_of(m_settings.m_service));
+    }
     m_poison_detector.on_update(status.m_incarnation, status.m_crashes, now);
     auto const node = m_nodes.find(address);
     m_handlers.m_on_status(address, node && node->m_same_domain, status);
