--- a/src/include/hibiscustide/core/admission/admission_queue.hpp
+++ b/src/include/hibiscustide/core/admission/admission_queue.hpp
@@ -27,6 +27,10 @@
     time_point m_objective{}; ///< A later answer misses the latency objective.
     time_point m_deadline{};  ///< A later answer is useless to the caller.
     duration m_work{};        ///< Usual processing time at the target.
+    /// Whether the request can be started. A request whose body has not arrived
+    /// waits until mark_ready() is called.
+    bool m_ready = true;
+    duration m_ready_in{}; ///< Expected time until it can be started.
 };
 
 /// The request holds a slot and must be sent to the target.
@@ -94,6 +98,9 @@
     [[nodiscard]] admission_decision submit(
         admission_request const& request, bool may_start, time_point now);
 
+    /// States that a waiting request can be started.
+    void mark_ready(std::uint64_t id);
+
     /// Removes the next request that may start from the queue, counts it as
     /// running and returns its id; nullopt if no request may start.
     [[nodiscard]] std::optional<std::uint64_t> start_next(time_point now);
@@ -143,6 +150,7 @@
     [[nodiscard]] bool can_finish_in_time(
         queue_entry const& waiting, duration wait, time_point now) const;
     [[nodiscard]] bool is_deferred(queue_entry const& waiting) const;
+    [[nodiscard]] bool is_ready(queue_entry const& waiting) const;
     [[nodiscard]] time_point slot_free_at(
         std::size_t ahead, duration work, time_point now) const;
     void start(queue_entry const& waiting, time_point now);
@@ -156,6 +164,7 @@
     double m_urgent_demand = 0; ///< Recent mean of m_urgent_running.
     time_point m_demand_updated_at{};
     std::set<queue_entry> m_queue;
+    std::set<std::uint64_t> m_not_ready; ///< Ids of entries of m_queue.
 };
 
 } // namespace hibiscustide::core::admission
--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -40,6 +40,7 @@
     std::string m_retry_window_s = "10";
     std::string m_retry_slack = "10";
     std::string m_stop_limit_ms = "5300";
+    std::string m_link_mbps = "1000";
 };
 
 /// Checked settings.
@@ -82,6 +83,8 @@
     /// Second attempts of the fleet in one window in addition to the ratio.
     double m_retry_slack = 0;
     std::chrono::milliseconds m_stop_limit{0}; ///< From SIGTERM to exit.
+    /// Capacity of the network link of the VM, in Mbit/s.
+    double m_link_mbps = 1'000;
 
     friend auto operator<=>(mesh_settings const&, mesh_settings const&) =
         default;
--- a/src/libhibiscustide/core/admission/admission_queue.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue.cpp
@@ -61,12 +61,14 @@
     m_max_priority_number = std::max(m_max_priority_number, request.m_priority);
     update_urgent_demand(now);
     bool const is_first = m_queue.empty() || entry < *m_queue.begin();
-    if (is_first && may_start && has_free_slot(entry) && !is_deferred(entry))
+    bool const can_start = request.m_ready && may_start &&
+                           has_free_slot(entry) && !is_deferred(entry);
+    if (is_first && can_start)
     {
         start(entry, now);
         return run_now{};
     }
-    auto const wait = expected_wait(entry, now);
+    auto const wait = std::max(expected_wait(entry, now), request.m_ready_in);
     if (!can_finish_in_time(entry, wait, now))
     {
         return refuse_request{
@@ -82,12 +84,22 @@
                 .m_reason = reason::queue_full, .m_retry_after = wait};
         }
         decision.m_evicted = last->m_id;
+        m_not_ready.erase(last->m_id);
         m_queue.erase(last);
     }
     m_queue.insert(entry);
+    if (!request.m_ready)
+    {
+        m_not_ready.insert(request.m_id);
+    }
     return decision;
 }
 
+void admission_queue::mark_ready(std::uint64_t id)
+{
+    m_not_ready.erase(id);
+}
+
 std::optional<std::uint64_t> admission_queue::start_next(time_point now)
 {
     update_urgent_demand(now);
@@ -95,7 +107,8 @@
         m_queue.begin(), m_queue.end(),
         [this, now](queue_entry const& waiting)
         {
-            return has_free_slot(waiting) && !is_deferred(waiting) &&
+            return is_ready(waiting) && has_free_slot(waiting) &&
+                   !is_deferred(waiting) &&
                    can_finish_in_time(waiting, duration{}, now);
         });
     if (chosen == m_queue.end())
@@ -104,8 +117,8 @@
             m_queue.begin(), m_queue.end(),
             [this, now](queue_entry const& waiting)
             {
-                return has_free_slot(waiting) && !is_deferred(waiting) &&
-                       waiting.m_deadline > now;
+                return is_ready(waiting) && has_free_slot(waiting) &&
+                       !is_deferred(waiting) && waiting.m_deadline > now;
             });
     }
     if (chosen == m_queue.end())
@@ -133,6 +146,7 @@
             if (is_infeasible)
             {
                 infeasible.push_back(waiting.m_id);
+                m_not_ready.erase(waiting.m_id);
             }
             return is_infeasible;
         });
@@ -141,6 +155,7 @@
 
 bool admission_queue::remove(std::uint64_t id)
 {
+    m_not_ready.erase(id);
     return std::erase_if(
                m_queue,
                [id](queue_entry const& waiting)
@@ -158,6 +173,7 @@
         ids.push_back(waiting.m_id);
     }
     m_queue.clear();
+    m_not_ready.clear();
     return ids;
 }
 
@@ -277,6 +293,11 @@
                work / m_slots);
 }
 
+bool admission_queue::is_ready(queue_entry const& waiting) const
+{
+    return !m_not_ready.contains(waiting.m_id);
+}
+
 // Whether the request finishes earlier if it starts later, after a slow period
 // of the target's machine.
 bool admission_queue::is_deferred(queue_entry const& waiting) const
--- a/src/libhibiscustide/core/admission/contention_model.cpp
+++ b/src/libhibiscustide/core/admission/contention_model.cpp
@@ -13,6 +13,9 @@
 // times of low load and cannot be compared with those of a burst.
 constexpr double min_compared_share = 0.35;
 
+// With fewer slots, some ranges of load contain no number of requests.
+constexpr std::uint32_t min_slots = 10;
+
 // Weight of one request in the mean of its range.
 constexpr double sample_weight = 0.08;
 
@@ -105,11 +108,15 @@
 std::uint32_t contention_model::best_concurrency(
     std::uint32_t slots, time_point now) const noexcept
 {
+    if (slots < min_slots)
+    {
+        return slots;
+    }
     auto const measured = measured_share(now);
     double const assumed = m_share_of_peers.value_or(share_to_measure(now));
     double const share = measured.value_or(assumed);
     auto const limit = static_cast<std::uint32_t>(slots * share);
-    return std::clamp(limit, std::min(slots, 1U), slots);
+    return std::clamp(limit, 1U, slots);
 }
 
 double contention_model::share_to_measure(time_point now) const noexcept
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -25,6 +25,7 @@
 constexpr bounds<double> ratio_bounds{0.0, 1.0};
 constexpr bounds<double> overage_bounds{0.1, 10.0};
 constexpr bounds<double> slack_bounds{0.0, 1e6};
+constexpr bounds<double> link_mbps_bounds{0.1, 1e6};
 
 struct port_range
 {
@@ -115,7 +116,9 @@
         .m_retry_slack = checker.real_number(
             "--retry-slack", text.m_retry_slack, slack_bounds),
         .m_stop_limit = milliseconds{checker.whole_number(
-            "--stop-limit-ms", text.m_stop_limit_ms, stop_ms_bounds)}};
+            "--stop-limit-ms", text.m_stop_limit_ms, stop_ms_bounds)},
+        .m_link_mbps = checker.real_number(
+            "--link-mbps", text.m_link_mbps, link_mbps_bounds)};
     auto const peer =
         parse_endpoint(peer_address + ":" + std::to_string(ports.m_first));
     if (!peer_address.empty() && !peer)
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -5,9 +5,12 @@
 #include <string_view>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "net/body_writer.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net
@@ -169,19 +172,57 @@
             .m_sent = !unsent, .m_reason = reason_for(*error, scope)};
     }
     auto& response = std::get<http_response>(read);
-    // The connection is not reused if more bytes follow the response, because
-    // they belong to no request, or if the server responded before the whole
-    // request was written, because it may read the rest as part of the next
-    // request.
-    bool const is_reusable = response.keep_alive() && !response.need_eof() &&
-                             used->m_buffer.size() == 0 && write->m_done &&
-                             !write->m_error;
-    if (is_reusable)
+    release_if_reusable(
+        std::move(used), response, write->m_done && !write->m_error);
+    co_return std::move(response);
+}
+
+awaitable<exchange_result> connection_pool::exchange(
+    http_request header, body_buffer_ptr const& body, core::time_point deadline,
+    cancel_scope* scope, core::duration max_idle)
+{
+    auto acquired = co_await acquire(deadline, max_idle);
+    if (auto const* const failure = std::get_if<exchange_failure>(&acquired))
+    {
+        co_return *failure;
+    }
+    auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
+    if (scope != nullptr && scope->is_cancelled())
     {
-        used->m_idle_timeout =
-            idle_timeout_of(response, m_options.m_idle_timeout);
         release(std::move(used));
+        co_return exchange_failure{
+            .m_sent = false, .m_reason = core::reason::caller_left};
     }
+    if (scope != nullptr)
+    {
+        scope->on_cancel(
+            [stream = &used->m_stream]
+            {
+                stream->close();
+            });
+    }
+    used->m_stream.expires_at(deadline);
+    body_writer writer{used->m_stream, body};
+    asio::co_spawn(m_context, writer.run(header), asio::detached);
+    auto read = co_await read_matching_response(*used, header, deadline);
+    if (scope != nullptr)
+    {
+        scope->clear();
+    }
+    if (!writer.is_complete())
+    {
+        // The server may have responded before it has read the body.
+        used->m_stream.close();
+        writer.stop();
+    }
+    co_await writer.wait();
+    if (auto const* const error = std::get_if<beast::error_code>(&read))
+    {
+        co_return exchange_failure{
+            .m_sent = writer.has_sent(), .m_reason = reason_for(*error, scope)};
+    }
+    auto& response = std::get<http_response>(read);
+    release_if_reusable(std::move(used), response, writer.is_complete());
     co_return std::move(response);
 }
 
@@ -299,6 +340,23 @@
     return nullptr;
 }
 
+// A connection is not reused if more bytes follow the response, because they
+// belong to no request, or if the server responded before the whole request was
+// written, because it may read the rest as part of the next request.
+void connection_pool::release_if_reusable(
+    std::unique_ptr<connection> used, http_response const& response,
+    bool is_request_written)
+{
+    bool const is_reusable = response.keep_alive() && !response.need_eof() &&
+                             used->m_buffer.size() == 0 && is_request_written;
+    if (is_reusable)
+    {
+        used->m_idle_timeout =
+            idle_timeout_of(response, m_options.m_idle_timeout);
+        release(std::move(used));
+    }
+}
+
 void connection_pool::release(std::unique_ptr<connection> used)
 {
     used->m_idle_since = std::chrono::steady_clock::now();
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "net/body_buffer.hpp"
 #include "net/cancel_scope.hpp"
 #include "net/http_io.hpp"
 #include "net/http_types.hpp"
@@ -75,6 +76,15 @@
         http_request const& request, core::time_point deadline,
         cancel_scope* scope, core::duration max_idle = core::duration::max());
 
+    /// Sends a request whose body may still be arriving; otherwise like the
+    /// function above. If the body fails, the exchange fails with
+    /// `connection_broken`, and the server does not get a complete request. The
+    /// rest of the body is not read after the response has arrived.
+    awaitable<exchange_result> exchange(
+        http_request header, body_buffer_ptr const& body,
+        core::time_point deadline, cancel_scope* scope,
+        core::duration max_idle);
+
     /// Closes the idle connections, because the server is shutting down or has
     /// restarted.
     void close_idle();
@@ -99,6 +109,9 @@
     read_matching_response(
         connection& used, http_request const& request,
         core::time_point deadline);
+    void release_if_reusable(
+        std::unique_ptr<connection> used, http_response const& response,
+        bool is_request_written);
     void release(std::unique_ptr<connection> used);
     void close_expired(core::time_point now);
 
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -16,6 +18,7 @@
 namespace http = beast::http;
 
 constexpr std::size_t initial_read_bytes = 2'048;
+constexpr unsigned http_1_1 = 11;
 
 // Reads the rest of a message into the parser. The caller has set the expiry
 // time of the stream.
@@ -70,6 +73,90 @@
     co_return co_await read_message(stream, buffer, limits, parser);
 }
 
+struct request_reader::implementation
+{
+    http::request_parser<http::buffer_body> m_parser;
+    std::optional<std::uint64_t> m_body_length;
+};
+
+request_reader::request_reader(message_limits const& limits)
+    : m_implementation{std::make_unique<implementation>()}
+{
+    m_implementation->m_parser.header_limit(limits.m_max_header_bytes);
+    m_implementation->m_parser.body_limit(limits.m_max_body_bytes);
+}
+
+request_reader::~request_reader() = default;
+
+awaitable<beast::error_code> request_reader::read_header(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    core::duration timeout)
+{
+    auto& parser = m_implementation->m_parser;
+    stream.expires_after(timeout);
+    auto const [error, count] =
+        co_await http::async_read_header(stream, buffer, parser, no_throw);
+    static_cast<void>(count);
+    if (!error && !parser.chunked())
+    {
+        m_implementation->m_body_length =
+            parser.content_length_remaining().value_or(0);
+    }
+    co_return error;
+}
+
+awaitable<beast::error_code> request_reader::read_body(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    core::duration timeout, std::size_t max, std::string& bytes)
+{
+    auto& parser = m_implementation->m_parser;
+    auto const before = bytes.size();
+    bytes.resize(before + max);
+    parser.get().body().data = bytes.data() + before;
+    parser.get().body().size = max;
+    parser.get().body().more = true;
+    stream.expires_after(timeout);
+    auto [error, count] =
+        co_await http::async_read_some(stream, buffer, parser, no_throw);
+    static_cast<void>(count);
+    bytes.resize(before + max - parser.get().body().size);
+    // The parser reports with this error that the space is used up.
+    if (error == http::error::need_buffer)
+    {
+        error = {};
+    }
+    co_return error;
+}
+
+bool request_reader::is_done() const
+{
+    return m_implementation->m_parser.is_done();
+}
+
+std::optional<std::uint64_t> request_reader::body_length() const
+{
+    return m_implementation->m_body_length;
+}
+
+http_request request_reader::take_request()
+{
+    http_request request;
+    request.base() = std::move(m_implementation->m_parser.get().base());
+    return request;
+}
+
+awaitable<beast::error_code> write_continue(
+    beast::tcp_stream& stream, core::duration timeout)
+{
+    http::response<http::empty_body> const response{
+        status::continue_, http_1_1};
+    stream.expires_after(timeout);
+    auto const [error, count] =
+        co_await http::async_write(stream, response, no_throw);
+    static_cast<void>(count);
+    co_return error;
+}
+
 awaitable<std::variant<http_response, beast::error_code>> read_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, bool is_head, core::time_point deadline)
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -6,7 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -37,6 +39,45 @@
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, core::duration timeout);
 
+/// Reads a request whose body is passed on while it arrives.
+class request_reader
+{
+public:
+    explicit request_reader(message_limits const& limits);
+    ~request_reader();
+
+    request_reader(request_reader const&) = delete;
+    request_reader& operator=(request_reader const&) = delete;
+
+    /// Reads the request line and the header fields within `timeout`.
+    awaitable<beast::error_code> read_header(
+        beast::tcp_stream& stream, beast::flat_buffer& buffer,
+        core::duration timeout);
+
+    /// Reads the next bytes of the body, at most `max`, within `timeout`, and
+    /// appends them to `bytes`. May append nothing without an error.
+    awaitable<beast::error_code> read_body(
+        beast::tcp_stream& stream, beast::flat_buffer& buffer,
+        core::duration timeout, std::size_t max, std::string& bytes);
+
+    /// Whether the whole request has been read.
+    [[nodiscard]] bool is_done() const;
+
+    /// Length of the body; nothing if it is sent in chunks.
+    [[nodiscard]] std::optional<std::uint64_t> body_length() const;
+
+    /// Returns the request without its body. May be called once.
+    [[nodiscard]] http_request take_request();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/// Writes the interim response that permits a client to send a body.
+awaitable<beast::error_code> write_continue(
+    beast::tcp_stream& stream, core::duration timeout);
+
 /// Reads a complete response before `deadline`. `is_head` states that it is the
 /// response to a HEAD request and so has no body.
 awaitable<std::variant<http_response, beast::error_code>> read_response(
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -27,6 +27,17 @@
 constexpr std::size_t discard_read_bytes = 2'048;
 constexpr int max_discard_reads = 64;
 
+// A body of up to this length is read before its request is handled.
+constexpr std::size_t max_whole_body = 4'096;
+
+// Largest number of bytes of a body that are read at once.
+constexpr std::size_t body_read_bytes = 8'192;
+
+bool is_continue_expected(http_request const& request)
+{
+    return beast::iequals(request[field::expect], "100-continue");
+}
+
 } // namespace
 
 // One connection. Requests are numbered in the order of arrival. A response
@@ -35,9 +46,11 @@
 {
     explicit session(asio::ip::tcp::socket socket)
         : m_stream{std::move(socket)},
-          m_response_written{m_stream.get_executor()}
+          m_response_written{m_stream.get_executor()},
+          m_body_room{m_stream.get_executor()}
     {
         m_response_written.expires_at(asio::steady_timer::time_point::max());
+        m_body_room.expires_at(asio::steady_timer::time_point::max());
     }
 
     [[nodiscard]] std::size_t pending_responses() const noexcept
@@ -64,6 +77,8 @@
     beast::flat_buffer m_buffer;
     /// Cancelled after each written response, to resume waiting coroutines.
     asio::steady_timer m_response_written;
+    /// Cancelled when the body that is being read has room or is not wanted.
+    asio::steady_timer m_body_room;
     core::time_point m_last_active = clock_now();
     std::uint64_t m_next_request = 0;
     std::uint64_t m_next_response = 0;
@@ -92,7 +107,7 @@
 
 http_server::http_server(
     asio::io_context& context, http_server_options options,
-    http_handler handler, malformed_handler malformed)
+    request_handler handler, malformed_handler malformed)
     : m_context{context},
       m_options{std::move(options)},
       m_handler{std::move(handler)},
@@ -294,42 +309,206 @@
     // The connection is busy from the first byte of a request, so that a
     // graceful shutdown waits for the request.
     connection->m_reading = true;
+    bool can_continue = false;
+    if (std::holds_alternative<streaming_handler>(m_handler))
+    {
+        can_continue = co_await read_streaming(connection);
+    }
+    else
+    {
+        can_continue = co_await read_whole(connection);
+    }
+    connection->m_reading = false;
+    co_return can_continue;
+}
+
+awaitable<bool> http_server::read_whole(session_ptr const& connection)
+{
     auto read = co_await read_request(
-        stream, connection->m_buffer, m_options.m_limits,
+        connection->m_stream, connection->m_buffer, m_options.m_limits,
         m_options.m_read_timeout);
-    connection->m_reading = false;
     if (auto const* const error = std::get_if<beast::error_code>(&read))
     {
         reject(connection, status_for_read_error(*error));
         co_return false;
     }
-    auto request =
-        std::make_shared<http_request>(std::move(std::get<http_request>(read)));
-    bool const keep_alive = request->keep_alive();
+    auto& request = std::get<http_request>(read);
+    bool const keep_alive = request.keep_alive();
+    start_response(connection, std::move(request), nullptr);
+    co_return keep_alive;
+}
+
+awaitable<bool> http_server::read_streaming(session_ptr const& connection)
+{
+    request_reader reader{m_options.m_limits};
+    auto const error = co_await reader.read_header(
+        connection->m_stream, connection->m_buffer, m_options.m_read_timeout);
+    if (error)
+    {
+        reject(connection, status_for_read_error(error));
+        co_return false;
+    }
+    auto request = reader.take_request();
+    bool const keep_alive = request.keep_alive();
+    bool const must_permit = is_continue_expected(request);
+    bool const is_short =
+        reader.body_length().value_or(UINT64_MAX) <= max_whole_body;
+    if (is_short && !must_permit)
+    {
+        auto const body_error =
+            co_await read_short_body(*connection, reader, request.body());
+        if (body_error)
+        {
+            reject(connection, status_for_read_error(body_error));
+            co_return false;
+        }
+        start_response(connection, std::move(request), nullptr);
+        co_return keep_alive;
+    }
+    auto const body = std::make_shared<body_buffer>(body_buffer_options{
+        .m_length = reader.body_length(), .m_keep_for_restart = true});
+    body->on_room(
+        [weak = std::weak_ptr<session>{connection}]
+        {
+            if (auto const open_connection = weak.lock())
+            {
+                open_connection->m_body_room.cancel();
+            }
+        });
+    auto const sequence = start_response(connection, std::move(request), body);
+    bool is_permitted = true;
+    if (must_permit)
+    {
+        is_permitted = co_await permit_body(connection, sequence, body);
+    }
+    bool const is_read =
+        is_permitted && co_await read_body(connection, reader, body);
+    body->on_room(nullptr);
+    co_return is_read&& keep_alive;
+}
+
+awaitable<beast::error_code> http_server::read_short_body(
+    session& connection, request_reader& reader, std::string& bytes)
+{
+    beast::error_code error;
+    while (!reader.is_done() && !error)
+    {
+        error = co_await reader.read_body(
+            connection.m_stream, connection.m_buffer, m_options.m_read_timeout,
+            max_whole_body, bytes);
+    }
+    co_return error;
+}
+
+// Waits until the handler wants the body and then permits the client to send
+// it. Returns false if the body is not wanted.
+awaitable<bool> http_server::permit_body(
+    session_ptr const& connection, std::uint64_t sequence,
+    body_buffer_ptr const& body)
+{
+    auto const is_waiting = [&]
+    {
+        // The permission must not be sent before an earlier response.
+        bool const is_turn = connection->m_next_response == sequence;
+        return !body->is_abandoned() && !connection->m_closing &&
+               (!body->is_wanted() || !is_turn);
+    };
+    while (is_waiting())
+    {
+        co_await connection->m_body_room.async_wait(no_throw);
+    }
+    if (body->is_abandoned() || connection->m_closing)
+    {
+        co_return false;
+    }
+    auto const error = co_await write_continue(
+        connection->m_stream, m_options.m_write_timeout);
+    if (error)
+    {
+        body->fail(status::unknown);
+        connection->cancel_all();
+    }
+    co_return !error;
+}
+
+// Reads the body while the handler uses it. Reading pauses while the buffer is
+// full. Returns false if the body was not read completely.
+awaitable<bool> http_server::read_body(
+    session_ptr const& connection, request_reader& reader,
+    body_buffer_ptr const& body)
+{
+    std::string bytes;
+    while (!reader.is_done())
+    {
+        if (body->is_abandoned() || connection->m_closing)
+        {
+            body->fail(status::unknown);
+            co_return false;
+        }
+        if (body->room() == 0)
+        {
+            co_await connection->m_body_room.async_wait(no_throw);
+            continue;
+        }
+        bytes.clear();
+        auto const error = co_await reader.read_body(
+            connection->m_stream, connection->m_buffer,
+            m_options.m_read_timeout, std::min(body->room(), body_read_bytes),
+            bytes);
+        body->append(bytes);
+        if (error)
+        {
+            auto const why = status_for_read_error(error);
+            body->fail(why);
+            if (why == status::unknown)
+            {
+                connection->cancel_all();
+            }
+            co_return false;
+        }
+    }
+    body->finish();
+    co_return true;
+}
+
+// Starts to process a request that was read, with or without its body. Returns
+// the number of the request on its connection.
+std::uint64_t http_server::start_response(
+    session_ptr const& connection, http_request&& message,
+    body_buffer_ptr const& body)
+{
+    auto request = std::make_shared<http_request>(std::move(message));
     auto scope = std::make_shared<cancel_scope>();
     auto const sequence = connection->m_next_request++;
     connection->m_scopes.emplace(sequence, scope);
     auto self = shared_from_this();
     asio::co_spawn(
         m_context,
-        [self, connection, sequence, request, scope]() -> awaitable<void>
+        [self, connection, sequence, request, body, scope]() -> awaitable<void>
         {
-            co_await self->respond(connection, sequence, request, scope);
+            co_await self->respond(connection, sequence, request, body, scope);
         },
         asio::detached);
-    co_return keep_alive;
+    return sequence;
 }
 
 awaitable<void> http_server::respond(
     session_ptr connection, std::uint64_t sequence,
-    std::shared_ptr<http_request> request, std::shared_ptr<cancel_scope> scope)
+    std::shared_ptr<http_request> request, body_buffer_ptr body,
+    std::shared_ptr<cancel_scope> scope)
 {
     bool const keep_alive = request->keep_alive();
     auto const version = request->version();
     bool const is_head = request->method() == beast::http::verb::head;
-    auto response = co_await m_handler(*request, scope);
+    auto response = co_await handle(*request, body, scope);
+    bool const has_read_body =
+        !body || body->current_state() == body_buffer::state::complete;
     response.version(version);
-    response.keep_alive(keep_alive && response.keep_alive());
+    response.keep_alive(keep_alive && response.keep_alive() && has_read_body);
+    if (body)
+    {
+        body->abandon();
+    }
     if (!is_head)
     {
         response.prepare_payload();
@@ -342,6 +521,18 @@
     }
 }
 
+awaitable<http_response> http_server::handle(
+    http_request& request, body_buffer_ptr const& body,
+    std::shared_ptr<cancel_scope> const& scope)
+{
+    if (auto const* const handler = std::get_if<http_handler>(&m_handler))
+    {
+        co_return co_await (*handler)(request, scope);
+    }
+    co_return co_await std::get<streaming_handler>(m_handler)(
+        request, body, scope);
+}
+
 awaitable<void> http_server::write_responses(session_ptr connection)
 {
     connection->m_writing = true;
@@ -374,6 +565,7 @@
             connection->m_stream.socket().cancel(ignored);
         }
         connection->m_response_written.cancel();
+        connection->m_body_room.cancel();
         it = connection->m_responses.find(connection->m_next_response);
     }
     connection->m_writing = false;
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -11,9 +11,11 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <variant>
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "net/body_buffer.hpp"
 #include "net/cancel_scope.hpp"
 #include "net/http_io.hpp"
 #include "net/http_types.hpp"
@@ -41,6 +43,18 @@
 using http_handler = std::function<awaitable<http_response>(
     http_request&, std::shared_ptr<cancel_scope> const&)>;
 
+/// Handles one request whose body may still be arriving. The body is null if
+/// it is short, and part of the request then. If the handler returns before the
+/// body has arrived, the connection is closed after the response.
+using streaming_handler = std::function<awaitable<http_response>(
+    http_request&, body_buffer_ptr const&,
+    std::shared_ptr<cancel_scope> const&)>;
+
+/// A server reads the body of each request completely before it calls an
+/// http_handler, and passes a long body on while it arrives to a
+/// streaming_handler.
+using request_handler = std::variant<http_handler, streaming_handler>;
+
 /// Creates the response to a request that could not be read.
 using malformed_handler = std::function<http_response(status)>;
 
@@ -50,7 +64,7 @@
 public:
     http_server(
         asio::io_context& context, http_server_options options,
-        http_handler handler, malformed_handler malformed);
+        request_handler handler, malformed_handler malformed);
 
     /// Opens the listener and starts to accept connections. Returns an error
     /// message if the listener cannot be opened and std::nullopt otherwise.
@@ -90,16 +104,32 @@
     awaitable<void> serve(session_ptr connection);
     static awaitable<void> discard_input(session& connection);
     awaitable<bool> read_next(session_ptr const& connection);
+    awaitable<bool> read_whole(session_ptr const& connection);
+    awaitable<bool> read_streaming(session_ptr const& connection);
+    awaitable<beast::error_code> read_short_body(
+        session& connection, request_reader& reader, std::string& bytes);
+    awaitable<bool> permit_body(
+        session_ptr const& connection, std::uint64_t sequence,
+        body_buffer_ptr const& body);
+    awaitable<bool> read_body(
+        session_ptr const& connection, request_reader& reader,
+        body_buffer_ptr const& body);
+    std::uint64_t start_response(
+        session_ptr const& connection, http_request&& request,
+        body_buffer_ptr const& body);
     awaitable<void> respond(
         session_ptr connection, std::uint64_t sequence,
-        std::shared_ptr<http_request> request,
+        std::shared_ptr<http_request> request, body_buffer_ptr body,
         std::shared_ptr<cancel_scope> scope);
+    awaitable<http_response> handle(
+        http_request& request, body_buffer_ptr const& body,
+        std::shared_ptr<cancel_scope> const& scope);
     awaitable<void> write_responses(session_ptr connection);
     void reject(session_ptr const& connection, status code);
 
     asio::io_context& m_context;
     http_server_options m_options;
-    http_handler m_handler;
+    request_handler m_handler;
     malformed_handler m_malformed;
     asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<std::shared_ptr<session>> m_sessions;
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -145,3 +145,41 @@
     test.wait();
     CHECK(test.read().find(" 431 ") != std::string::npos);
 }
+
+// The next hop does not take the body, so that the client has to wait.
+TEST_CASE("a server stops reading a body while its handler does not use it")
+{
+    constexpr std::uint16_t streaming_port = 28'432;
+    constexpr std::size_t sent_bytes = 1'000'000;
+    asio::io_context context;
+    net::body_buffer_ptr body;
+    net::streaming_handler const handler =
+        [&](net::http_request&, net::body_buffer_ptr const& received,
+            std::shared_ptr<net::cancel_scope> const&)
+        -> asio::awaitable<net::http_response>
+    {
+        body = received;
+        asio::steady_timer timer{context, 300ms};
+        co_await timer.async_wait(net::no_throw);
+        co_return net::text_reply(net::status::ok, "done\n");
+    };
+    auto const server = std::make_shared<net::http_server>(
+        context,
+        net::http_server_options{
+            .m_listen = {.m_address = address, .m_port = streaming_port},
+            .m_limits = {.m_max_body_bytes = 2 * sent_bytes}},
+        handler, net::malformed_reply);
+    REQUIRE_FALSE(server->start());
+    asio::ip::tcp::socket client{context};
+    client.connect({asio::ip::make_address(address), streaming_port});
+    std::string const request =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+        std::to_string(sent_bytes) + "\r\n\r\n" + std::string(sent_bytes, 'x');
+    asio::async_write(client, asio::buffer(request), [](auto&&...) {});
+    context.run_for(200ms);
+    REQUIRE(body);
+    CHECK(body->size() == net::body_buffer_options{}.m_capacity);
+    CHECK(body->current_state() == net::body_buffer::state::incomplete);
+    context.run_for(400ms);
+    CHECK(body->is_abandoned());
+}
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -34,6 +34,24 @@
     return std::chrono::duration_cast<milliseconds>(span);
 }
 
+// A shorter body is sent together with its request.
+constexpr std::size_t max_inline_body = 4'096;
+
+bool is_short_and_complete(body_buffer const& body)
+{
+    return body.current_state() == body_buffer::state::complete &&
+           body.size() <= max_inline_body;
+}
+
+// The result of a request whose body ends early. A target may have got a part
+// of it.
+run_result body_failure()
+{
+    return {
+        .m_outcome = outcome::may_have_run,
+        .m_reason = core::reason::bad_request};
+}
+
 // Whether the refusal was caused by a state of the node or of its target that
 // will also affect the next request.
 bool is_persistent(core::reason why)
@@ -100,6 +118,11 @@
         finish(m_last_failure.value_or(timeout_result), std::nullopt);
         return;
     }
+    if (has_body_failed())
+    {
+        finish(body_failure(), std::nullopt);
+        return;
+    }
     if (m_retry_placement_at && now >= *m_retry_placement_at)
     {
         m_retry_placement_at.reset();
@@ -115,7 +138,7 @@
 void call::place_attempt()
 {
     auto const now = clock_now();
-    auto const node = choose_node(now);
+    auto const node = can_send_again() ? choose_node(now) : nullptr;
     if (node)
     {
         send(node);
@@ -183,10 +206,17 @@
             self->on_result(index, std::move(result));
         }
     };
+    auto body = m_options.m_body;
+    if (body && is_short_and_complete(*body))
+    {
+        request.m_body = body->read(0, body->size());
+        body = nullptr;
+    }
     auto const id =
         node->m_is_self
-            ? m_environment.m_gate.run(std::move(request), std::move(done))
-            : node->m_link->run(std::move(request), std::move(done));
+            ? m_environment.m_gate.run(
+                  std::move(request), {.m_buffer = body}, std::move(done))
+            : node->m_link->run(std::move(request), body, std::move(done));
     m_attempts[index].m_id = id;
     m_environment.m_counts.add(
         node->m_is_self ? counter::attempts_local : counter::attempts_remote);
@@ -200,6 +230,11 @@
     {
         return;
     }
+    if (has_body_failed())
+    {
+        finish(body_failure(), std::nullopt);
+        return;
+    }
     auto const now = clock_now();
     auto& node = *ended.m_node;
     m_targets_reached += result.m_reached_target ? 1 : 0;
@@ -292,7 +327,10 @@
 // Sends the request to a second target if the only running attempt is slow.
 void call::hedge_if_slow(core::time_point now)
 {
-    if (m_finished || running_attempts() != 1 || !may_retry())
+    // A body that follows has one reader, so it can't be sent to two targets.
+    bool const is_possible = !m_finished && !m_options.m_body &&
+                             running_attempts() == 1 && may_retry();
+    if (!is_possible)
     {
         return;
     }
@@ -423,6 +461,20 @@
                m_options.m_route.m_max_targets;
 }
 
+// Whether the whole body is available for a further attempt.
+bool call::can_send_again() const
+{
+    return !m_options.m_body || m_attempts.empty() ||
+           m_options.m_body->can_restart();
+}
+
+// Whether the body of the request ends early, so that no target may get it.
+bool call::has_body_failed() const
+{
+    return m_options.m_body &&
+           m_options.m_body->current_state() == body_buffer::state::failed;
+}
+
 std::size_t call::running_attempts() const
 {
     auto const count = std::count_if(
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -39,6 +39,9 @@
 struct call_options
 {
     run_request m_request; ///< Sent by every attempt.
+    /// The body; null if the request contains it or has none. It may still be
+    /// arriving from the caller.
+    body_buffer_ptr m_body;
     core::directory::route m_route;
     core::time_point m_began_at;
     core::time_point m_objective;  ///< A later answer is late.
@@ -103,6 +106,8 @@
         std::function<bool(node_entry const&)> const& is_excluded) const;
     [[nodiscard]] std::vector<node_entry_ptr> const& members() const;
     [[nodiscard]] bool may_retry() const;
+    [[nodiscard]] bool can_send_again() const;
+    [[nodiscard]] bool has_body_failed() const;
     [[nodiscard]] std::size_t running_attempts() const;
 
     call_environment m_environment;
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -14,6 +14,9 @@
 using core::directory::item;
 using core::directory::item_changes;
 
+// Position of the kind in the header of a frame.
+constexpr unsigned frame_kind_shift = 30;
+
 // Writes a message as a sequence of MessagePack values: the index of its type
 // in the variant, then its fields.
 class writer
@@ -77,9 +80,8 @@
         return std::move(m_bytes);
     }
 
-    explicit writer(std::size_t header_bytes)
-        : m_bytes(header_bytes, '\0'),
-          m_end{m_bytes.data() + header_bytes}
+    writer()
+        : m_end{m_bytes.data()}
     {
     }
 
@@ -229,6 +231,8 @@
         visit(value.m_path);
         visit(value.m_fields);
         visit(value.m_body);
+        visit(value.m_body_follows);
+        visit(value.m_body_length);
         visit(value.m_deadline_left_ms);
         visit(value.m_objective_left_ms);
         visit(value.m_work_ms);
@@ -247,6 +251,17 @@
         visit(value.m_fields);
         visit(value.m_body);
     }
+    else if constexpr (std::is_same_v<type, body_grant>)
+    {
+        visit(value.m_id);
+        visit(value.m_limit);
+    }
+    else if constexpr (std::is_same_v<type, body_piece>)
+    {
+        visit(value.m_id);
+        visit(value.m_bytes);
+        visit(value.m_end);
+    }
     else if constexpr (std::is_same_v<type, cancel_request>)
     {
         visit(value.m_id);
@@ -376,34 +391,44 @@
 
 } // namespace
 
-std::string encode_frame(message const& value)
+std::string encode_frame_header(frame_header const& header)
 {
-    writer out{frame_header_bytes};
-    out(std::uint64_t{value.index()});
-    std::visit(
-        [&out](auto const& alternative)
-        {
-            for_each_field(out, alternative);
-        },
-        value);
-    auto bytes = out.take();
-    auto length = bytes.size() - frame_header_bytes;
+    auto const kind = static_cast<std::uint32_t>(header.m_kind);
+    auto value = static_cast<std::uint32_t>(header.m_length) |
+                 (kind << frame_kind_shift);
+    std::string bytes(frame_header_bytes, '\0');
     for (std::size_t n = frame_header_bytes; n > 0; --n)
     {
-        bytes[n - 1] = static_cast<char>(length & 0xffU);
-        length >>= 8U;
+        bytes[n - 1] = static_cast<char>(value & 0xffU);
+        value >>= 8U;
     }
     return bytes;
 }
 
-std::size_t frame_length(std::string_view header) noexcept
+frame_header decode_frame_header(std::string_view bytes) noexcept
 {
-    std::size_t length = 0;
-    for (auto const byte : header.substr(0, frame_header_bytes))
+    std::uint32_t value = 0;
+    for (auto const byte : bytes.substr(0, frame_header_bytes))
     {
-        length = (length << 8U) | static_cast<unsigned char>(byte);
+        value = (value << 8U) | static_cast<unsigned char>(byte);
     }
-    return length;
+    constexpr std::uint32_t length_mask = (1U << frame_kind_shift) - 1;
+    return {
+        .m_kind = static_cast<frame_kind>(value >> frame_kind_shift),
+        .m_length = value & length_mask};
+}
+
+std::string encode_message(message const& value)
+{
+    writer out;
+    out(std::uint64_t{value.index()});
+    std::visit(
+        [&out](auto const& alternative)
+        {
+            for_each_field(out, alternative);
+        },
+        value);
+    return out.take();
 }
 
 std::optional<message> decode_message(std::string_view bytes)
@@ -420,7 +445,7 @@
 
 std::string encode_status(node_status const& value)
 {
-    writer out{0};
+    writer out;
     for_each_field(out, value);
     return out.take();
 }
--- a/src/libhibiscustide/net/mesh/codec_test.cpp
+++ b/src/libhibiscustide/net/mesh/codec_test.cpp
@@ -42,12 +42,12 @@
         mesh::resume_requests{.m_ids = {1, 2, 300}},
         mesh::ping{.m_is_answer = true},
         mesh::changes_request{.m_after = 7},
-        changes};
-}
-
-std::string_view payload_of(std::string const& frame)
-{
-    return std::string_view{frame}.substr(mesh::frame_header_bytes);
+        changes,
+        mesh::body_grant{.m_id = 5, .m_limit = 70'000},
+        mesh::body_piece{
+            .m_id = 5,
+            .m_bytes = std::string("\0\x80", 2),
+            .m_end = mesh::body_end::complete}};
 }
 
 } // namespace
@@ -56,16 +56,29 @@
 {
     for (auto const& sample : samples())
     {
-        auto const frame = mesh::encode_frame(sample);
-        CHECK(
-            mesh::frame_length(frame) ==
-            frame.size() - mesh::frame_header_bytes);
-        auto const read = mesh::decode_message(payload_of(frame));
+        auto const read = mesh::decode_message(mesh::encode_message(sample));
         REQUIRE(read.has_value());
         CHECK(*read == sample);
     }
 }
 
+TEST_CASE("a decoded frame header equals the encoded one")
+{
+    for (auto const kind :
+         {mesh::frame_kind::whole, mesh::frame_kind::fragment,
+          mesh::frame_kind::last_fragment})
+    {
+        for (std::size_t const length :
+             {std::size_t{0}, std::size_t{300}, mesh::max_message_bytes})
+        {
+            mesh::frame_header const header{.m_kind = kind, .m_length = length};
+            auto const bytes = mesh::encode_frame_header(header);
+            CHECK(bytes.size() == mesh::frame_header_bytes);
+            CHECK(mesh::decode_frame_header(bytes) == header);
+        }
+    }
+}
+
 TEST_CASE("a decoded status equals the encoded status")
 {
     mesh::node_status const status{
@@ -90,7 +103,7 @@
     std::mt19937 random{3};
     for (auto const& sample : samples())
     {
-        std::string const encoded{payload_of(mesh::encode_frame(sample))};
+        auto const encoded = mesh::encode_message(sample);
         if (encoded.size() > 1'000)
         {
             continue;
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -81,7 +81,8 @@
 }
 
 awaitable<http_response> dispatcher::serve(
-    http_request& request, std::shared_ptr<cancel_scope> const& scope)
+    http_request& request, body_buffer_ptr const& body,
+    std::shared_ptr<cancel_scope> const& scope)
 {
     auto const fields = m_protocol.m_read_caller(request);
     auto const& config = m_directory->config();
@@ -104,6 +105,7 @@
             status::bad_request, "", core::reason::bad_request, {});
     }
     auto options = make_call_options(request, fields, *entry);
+    options.m_body = body;
     auto const route = options.m_route;
     auto const deadline = options.m_deadline;
     auto const began_at = options.m_began_at;
@@ -141,6 +143,11 @@
          {"target", end.m_target},
          {"attempts", static_cast<std::int64_t>(end.m_attempts)},
          {"ms", std::chrono::duration<double, std::milli>(took).count()}});
+    bool const is_malformed = body && body->failure() != status::unknown;
+    if (is_malformed)
+    {
+        co_return make_malformed_body_reply(body->failure(), fields.m_attempt);
+    }
     co_return to_http(std::move(end), fields.m_attempt, deadline);
 }
 
@@ -306,6 +313,23 @@
     return response;
 }
 
+// The response to a request whose body could not be read.
+http_response dispatcher::make_malformed_body_reply(
+    status code, std::string const& attempt)
+{
+    auto response = text_reply(code, "the body of the request is malformed\n");
+    if (code == status::payload_too_large)
+    {
+        response.body() = "the body of the request is too long\n";
+    }
+    else if (code == status::request_timeout)
+    {
+        response.body() = "the body of the request did not arrive in time\n";
+    }
+    m_protocol.m_write_attempt(response, attempt);
+    return response;
+}
+
 // Updates the moving average of the route's usual processing time. The
 // target_gate reports the processing time converted to the usual speed of the
 // target.
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -42,9 +42,11 @@
         metrics& counts);
 
     /// Runs the request at a target and returns the response for the caller.
-    /// Removes the body and the hop-by-hop fields from `request`.
+    /// Removes the body and the hop-by-hop fields from `request`. `body` is the
+    /// body if it is still arriving, and null otherwise.
     awaitable<http_response> serve(
-        http_request& request, std::shared_ptr<cancel_scope> const& scope);
+        http_request& request, body_buffer_ptr const& body,
+        std::shared_ptr<cancel_scope> const& scope);
 
     /// Replaces the directory. Builds a new route table if the version of the
     /// configuration has changed.
@@ -59,6 +61,8 @@
     [[nodiscard]] call_options make_call_options(
         http_request& request, caller_fields const& fields,
         core::routing::route_table::entry& entry);
+    [[nodiscard]] http_response make_malformed_body_reply(
+        status code, std::string const& attempt);
     [[nodiscard]] std::shared_ptr<core::retry::windowed_retry_budget>
     retry_budget_for(std::string const& service);
     [[nodiscard]] core::duration& usual_work_of(
--- a/src/libhibiscustide/net/mesh/frame_stream.cpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -22,6 +22,9 @@
 // space grows with the bytes that are buffered.
 constexpr std::size_t min_read_bytes = 4'096;
 
+// Longest fragment of a long message.
+constexpr std::size_t max_fragment_bytes = 8'192;
+
 } // namespace
 
 frame_stream::frame_stream(asio::ip::tcp::socket socket)
@@ -53,7 +56,18 @@
     {
         return;
     }
-    m_write_buffer += encode_frame(value);
+    auto const bytes = encode_message(value);
+    bool const is_urgent = bytes.size() <= max_urgent_bytes &&
+                           !std::holds_alternative<body_piece>(value);
+    if (is_urgent || std::holds_alternative<run_request>(value))
+    {
+        m_urgent_frames += encode_frame_header({.m_length = bytes.size()});
+        m_urgent_frames += bytes;
+    }
+    else
+    {
+        queue_in_fragments(bytes);
+    }
     if (std::exchange(m_writing, true))
     {
         return;
@@ -82,6 +96,11 @@
     return m_open;
 }
 
+bool frame_stream::has_unsent() const noexcept
+{
+    return m_writing;
+}
+
 core::time_point frame_stream::last_received_at() const noexcept
 {
     return m_last_received_at;
@@ -110,9 +129,9 @@
 
 awaitable<void> frame_stream::write_loop()
 {
-    while (m_open && !m_write_buffer.empty())
+    while (m_open && (!m_urgent_frames.empty() || !m_bulk_frames.empty()))
     {
-        std::string const bytes = std::exchange(m_write_buffer, {});
+        auto const bytes = take_next_bytes();
         auto const [error, count] =
             co_await asio::async_write(m_socket, asio::buffer(bytes), no_throw);
         if (error)
@@ -123,9 +142,35 @@
     m_writing = false;
 }
 
-// Passes each complete message to the handler. Returns false if the stream must
-// be closed or has been closed: a message is malformed or too long, or the
-// handler closed the stream.
+void frame_stream::queue_in_fragments(std::string_view message_bytes)
+{
+    while (!message_bytes.empty())
+    {
+        auto const part = message_bytes.substr(0, max_fragment_bytes);
+        message_bytes.remove_prefix(part.size());
+        auto const kind = message_bytes.empty() ? frame_kind::last_fragment
+                                                : frame_kind::fragment;
+        auto frame =
+            encode_frame_header({.m_kind = kind, .m_length = part.size()});
+        frame += part;
+        m_bulk_frames.push_back(std::move(frame));
+    }
+}
+
+// All urgent frames and one other.
+std::string frame_stream::take_next_bytes()
+{
+    auto bytes = std::exchange(m_urgent_frames, {});
+    if (!m_bulk_frames.empty())
+    {
+        bytes += m_bulk_frames.front();
+        m_bulk_frames.pop_front();
+    }
+    return bytes;
+}
+
+// Handles each complete frame. Returns false if the stream must be closed or
+// has been closed.
 bool frame_stream::handle_frames()
 {
     while (m_buffer.size() >= frame_header_bytes)
@@ -133,30 +178,55 @@
         auto const data = m_buffer.cdata();
         std::string_view const bytes{
             static_cast<char const*>(data.data()), data.size()};
-        auto const length = frame_length(bytes);
-        if (length > max_frame_bytes)
+        auto const header = decode_frame_header(bytes);
+        if (header.m_length > max_message_bytes)
         {
             return false;
         }
-        if (bytes.size() < frame_header_bytes + length)
+        if (bytes.size() < frame_header_bytes + header.m_length)
         {
             break;
         }
-        auto value = decode_message(bytes.substr(frame_header_bytes, length));
-        m_buffer.consume(frame_header_bytes + length);
-        if (!value || !m_on_message)
+        bool const can_continue = handle_frame(
+            header, bytes.substr(frame_header_bytes, header.m_length));
+        if (!can_continue || !m_open)
         {
             return false;
         }
-        // The copy keeps the handler alive if it closes the stream, which
-        // resets m_on_message.
-        auto const handler = m_on_message;
-        handler(std::move(*value));
-        if (!m_open)
+        m_buffer.consume(frame_header_bytes + header.m_length);
+    }
+    return true;
+}
+
+// Passes the message that the frame contains or completes to the handler.
+// Returns false if it is malformed or too long.
+bool frame_stream::handle_frame(
+    frame_header const& header, std::string_view bytes)
+{
+    std::string whole;
+    if (header.m_kind != frame_kind::whole)
+    {
+        if (m_partial_message.size() + bytes.size() > max_message_bytes)
         {
             return false;
         }
+        m_partial_message += bytes;
+        if (header.m_kind != frame_kind::last_fragment)
+        {
+            return true;
+        }
+        whole = std::exchange(m_partial_message, {});
+        bytes = whole;
+    }
+    auto value = decode_message(bytes);
+    if (!value || !m_on_message)
+    {
+        return false;
     }
+    // The copy keeps the handler alive if it closes the stream, which resets
+    // m_on_message.
+    auto const handler = m_on_message;
+    handler(std::move(*value));
     return true;
 }
 
--- a/src/libhibiscustide/net/mesh/frame_stream.hpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.hpp
@@ -3,9 +3,11 @@
 #ifndef HIBISCUSTIDE_NET_MESH_FRAME_STREAM_HPP
 #define HIBISCUSTIDE_NET_MESH_FRAME_STREAM_HPP
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -13,16 +15,24 @@
 #include <hibiscustide/core/time.hpp>
 
 #include "net/http_types.hpp"
+#include "net/mesh/codec.hpp"
 #include "net/mesh/messages.hpp"
 
 namespace hibiscustide::net::mesh
 {
 
-/// Reads and writes messages on a connected socket until it is closed. Runs on
-/// one io_context.
+/// Reads and writes messages on a connected socket until it is closed.
+///
+/// Pieces of bodies and long messages are cut into fragments that are sent one
+/// at a time, with the other messages before each of them. So pings and the
+/// calls of running requests do not wait behind a body. Messages of the same
+/// length class keep their order. Runs on one io_context.
 class frame_stream : public std::enable_shared_from_this<frame_stream>
 {
 public:
+    /// Longest message that is sent before longer ones.
+    static constexpr std::size_t max_urgent_bytes = 4'096;
+
     using message_handler = std::function<void(message&&)>;
     using closed_handler = std::function<void()>;
 
@@ -32,7 +42,9 @@
     /// peer closes it or sends a malformed message, but not after close().
     void start(message_handler on_message, closed_handler on_closed);
 
-    /// Queues a message. Drops the message if the stream is closed.
+    /// Queues a message. Drops the message if the stream is closed. Messages of
+    /// up to `max_urgent_bytes`, except pieces of bodies, are sent before all
+    /// others.
     void send(message const& value);
 
     /// Closes the connection without calling the handlers.
@@ -40,20 +52,29 @@
 
     [[nodiscard]] bool is_open() const noexcept;
 
+    /// Whether queued bytes have not been passed to the kernel yet.
+    [[nodiscard]] bool has_unsent() const noexcept;
+
     /// When bytes were last received; at first, when the stream was created.
     [[nodiscard]] core::time_point last_received_at() const noexcept;
 
 private:
     awaitable<void> read_loop();
     awaitable<void> write_loop();
+    void queue_in_fragments(std::string_view message_bytes);
+    [[nodiscard]] std::string take_next_bytes();
     [[nodiscard]] bool handle_frames();
+    [[nodiscard]] bool handle_frame(
+        frame_header const& header, std::string_view bytes);
     void close_on_error();
 
     asio::ip::tcp::socket m_socket;
     beast::flat_buffer m_buffer;
     message_handler m_on_message;
     closed_handler m_on_closed;
-    std::string m_write_buffer;
+    std::string m_urgent_frames;
+    std::deque<std::string> m_bulk_frames;
+    std::string m_partial_message; ///< Fragments that have arrived.
     core::time_point m_last_received_at;
     bool m_writing = false;
     bool m_open = true;
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -51,7 +51,11 @@
     std::string m_method;
     std::string m_path; ///< Including the query.
     header_fields m_fields;
-    std::string m_body;
+    std::string m_body; ///< Empty if the body follows.
+    /// Whether the body follows in pieces after the gate has granted it.
+    bool m_body_follows = false;
+    /// Length of a body that follows; -1 if it is unknown.
+    std::int64_t m_body_length = -1;
     std::int64_t m_deadline_left_ms = 0; ///< Until the caller stops waiting.
     /// Until the answer is late; negative if it is late already.
     std::int64_t m_objective_left_ms = 0;
@@ -87,6 +91,33 @@
     friend auto operator<=>(run_result const&, run_result const&) = default;
 };
 
+/// Allows the sender of a run_request to send its body up to a position.
+struct body_grant
+{
+    std::uint64_t m_id = 0;    ///< Of the run_request.
+    std::uint64_t m_limit = 0; ///< In bytes from the start of the body.
+
+    friend auto operator<=>(body_grant const&, body_grant const&) = default;
+};
+
+/// What follows a piece of a body.
+enum class body_end : std::uint8_t
+{
+    none,     ///< More pieces follow.
+    complete, ///< The piece is the last one.
+    aborted,  ///< The body ends early, because its caller has left.
+};
+
+/// The next bytes of the body of a run_request.
+struct body_piece
+{
+    std::uint64_t m_id = 0; ///< Of the run_request.
+    std::string m_bytes;
+    body_end m_end = body_end::none;
+
+    friend auto operator<=>(body_piece const&, body_piece const&) = default;
+};
+
 /// Cancels a request whose caller no longer waits.
 struct cancel_request
 {
@@ -128,7 +159,7 @@
 
 using message = std::variant<
     hello, run_request, run_result, cancel_request, resume_requests, ping,
-    changes_request, core::directory::item_changes>;
+    changes_request, core::directory::item_changes, body_grant, body_piece>;
 
 /// The status of a node, sent as a datagram on changes and periodically.
 struct node_status
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "net/mesh/peer_link.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -34,10 +35,28 @@
 // The connection is replaced when a ping is unanswered for this long.
 constexpr milliseconds ping_timeout{650};
 
+// The connection is replaced when nothing could be sent on it for this long.
+constexpr milliseconds blocked_timeout{2'500};
+
+// Largest number of bytes of a body in one message.
+constexpr std::size_t body_piece_bytes = 8'000;
+
 // How long an idempotent request waits for a gate that cannot be reached. Other
 // requests wait until their deadline.
 constexpr milliseconds idempotent_timeout{300};
 
+// What follows the bytes of the body before this position.
+body_end end_at(body_buffer const& body, std::uint64_t position)
+{
+    if (body.current_state() == body_buffer::state::failed)
+    {
+        return body_end::aborted;
+    }
+    bool const is_last = body.current_state() == body_buffer::state::complete &&
+                         position == body.size();
+    return is_last ? body_end::complete : body_end::none;
+}
+
 run_result failed_result(bool sent, core::reason reason)
 {
     return {
@@ -55,7 +74,8 @@
 {
 }
 
-std::uint64_t peer_link::run(run_request request, done_handler done)
+std::uint64_t peer_link::run(
+    run_request request, body_buffer_ptr body, done_handler done)
 {
     auto const id = m_next_id++;
     auto const now = clock_now();
@@ -64,10 +84,16 @@
                              : milliseconds{request.m_deadline_left_ms};
     auto const left = milliseconds{request.m_deadline_left_ms};
     request.m_id = id;
+    request.m_body_follows = body != nullptr;
+    if (body && body->length())
+    {
+        request.m_body_length = static_cast<std::int64_t>(*body->length());
+    }
     pending_request added{
         .m_done = std::move(done),
         .m_reconnect_deadline = now + std::min(timeout, left),
-        .m_message = std::move(request)};
+        .m_message = std::move(request),
+        .m_body = std::move(body)};
     auto const it = m_pending.emplace(id, std::move(added)).first;
     if (m_stream && m_greeted)
     {
@@ -89,6 +115,7 @@
         return;
     }
     bool const sent = it->second.m_sent;
+    finish_body(it->second);
     m_pending.erase(it);
     if (sent && m_stream)
     {
@@ -120,6 +147,10 @@
     auto const pending = std::exchange(m_pending, {});
     for (auto const& [id, request] : pending)
     {
+        if (request.m_body)
+        {
+            request.m_body->on_change(nullptr);
+        }
         request.m_done(
             failed_result(request.m_sent, core::reason::peer_unreachable));
     }
@@ -133,6 +164,7 @@
 bool peer_link::is_responsive(core::time_point now) const noexcept
 {
     bool const is_ping_pending = m_ping_sent_at && m_stream &&
+                                 !m_stream->has_unsent() &&
                                  m_stream->last_received_at() < *m_ping_sent_at;
     return !is_ping_pending || now - *m_ping_sent_at < max_round_trip;
 }
@@ -284,7 +316,7 @@
         {
             m_ping_sent_at.reset();
         }
-        if (m_ping_sent_at && now - *m_ping_sent_at > ping_timeout)
+        if (m_ping_sent_at && is_silent(now))
         {
             log_event(
                 event::peer_silent,
@@ -304,6 +336,15 @@
     m_monitoring = false;
 }
 
+// Whether the gate has not answered the ping in time. A ping that still waits
+// in this node says nothing about the gate, unless nothing leaves for very
+// long.
+bool peer_link::is_silent(core::time_point now) const noexcept
+{
+    auto const limit = m_stream->has_unsent() ? blocked_timeout : ping_timeout;
+    return now - *m_ping_sent_at > limit;
+}
+
 void peer_link::on_message(message&& value)
 {
     if (auto* const result = std::get_if<run_result>(&value))
@@ -315,6 +356,10 @@
     {
         on_hello(*greeting);
     }
+    else if (auto const* const grant = std::get_if<body_grant>(&value))
+    {
+        on_grant(*grant);
+    }
     else if (
         auto* const changes =
             std::get_if<core::directory::item_changes>(&value))
@@ -397,6 +442,12 @@
     {
         request.m_reconnect_deadline =
             std::max<core::time_point>(request.m_reconnect_deadline, now);
+        // Pieces of the body may have been lost with the connection, so the
+        // gate ends the request.
+        if (request.m_sent)
+        {
+            finish_body(request);
+        }
     }
     start_connecting();
 }
@@ -409,6 +460,7 @@
         return;
     }
     auto const done = std::move(it->second.m_done);
+    finish_body(it->second);
     m_pending.erase(it);
     done(std::move(result));
 }
@@ -419,6 +471,72 @@
     request.m_sent = true;
 }
 
+void peer_link::on_grant(body_grant const& grant)
+{
+    auto const it = m_pending.find(grant.m_id);
+    if (it == m_pending.end() || !it->second.m_body)
+    {
+        return;
+    }
+    auto& request = it->second;
+    request.m_body_limit = std::max(request.m_body_limit, grant.m_limit);
+    request.m_body->on_change(
+        [weak = weak_from_this(), id = grant.m_id]
+        {
+            if (auto const self = weak.lock())
+            {
+                self->send_granted_pieces(id);
+            }
+        });
+    request.m_body->want();
+    send_granted_pieces(grant.m_id);
+}
+
+// Sends the bytes that have arrived and are granted, and the end of the body.
+void peer_link::send_granted_pieces(std::uint64_t id)
+{
+    auto const it = m_pending.find(id);
+    bool const can_send =
+        it != m_pending.end() && it->second.m_body && m_stream && m_greeted;
+    if (!can_send)
+    {
+        return;
+    }
+    auto& request = it->second;
+    auto const body = request.m_body;
+    bool has_ended = false;
+    while (!has_ended)
+    {
+        auto const granted = request.m_body_limit - request.m_body_position;
+        body_piece piece{
+            .m_id = id,
+            .m_bytes = std::string{body->read(
+                request.m_body_position,
+                std::min<std::uint64_t>(granted, body_piece_bytes))}};
+        request.m_body_position += piece.m_bytes.size();
+        piece.m_end = end_at(*body, request.m_body_position);
+        has_ended = piece.m_end != body_end::none;
+        if (piece.m_bytes.empty() && !has_ended)
+        {
+            break;
+        }
+        m_stream->send(piece);
+        body->release_before(request.m_body_position);
+    }
+    if (has_ended)
+    {
+        finish_body(request);
+    }
+}
+
+void peer_link::finish_body(pending_request& request)
+{
+    if (auto const body = std::exchange(request.m_body, nullptr))
+    {
+        body->on_change(nullptr);
+    }
+}
+
 // Ends the requests whose deadline for reaching the gate has passed. If a
 // connection exists, a request that was sent is resumed on it and has no such
 // deadline.
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -15,6 +15,7 @@
 #include <hibiscustide/core/endpoint.hpp>
 #include <hibiscustide/core/time.hpp>
 
+#include "net/body_buffer.hpp"
 #include "net/mesh/frame_stream.hpp"
 #include "net/mesh/messages.hpp"
 
@@ -50,9 +51,12 @@
 
     peer_link(asio::io_context& context, peer_link_options options);
 
-    /// Sends the request. Calls `done` once, unless the request is cancelled.
-    /// Returns the id that cancel() takes.
-    std::uint64_t run(run_request request, done_handler done);
+    /// Sends the request, and its body in the pieces that the gate grants.
+    /// `body` is null if the request contains its whole body. Calls `done`
+    /// once, unless the request is cancelled. Returns the id that cancel()
+    /// takes.
+    std::uint64_t run(
+        run_request request, body_buffer_ptr body, done_handler done);
 
     /// Cancels the request, whose result is no longer needed.
     void cancel(std::uint64_t id);
@@ -68,7 +72,7 @@
     [[nodiscard]] std::size_t pending() const noexcept;
 
     /// Returns false while a ping has been unanswered for longer than a round
-    /// trip takes.
+    /// trip takes. The time for which it waits in this node does not count.
     [[nodiscard]] bool is_responsive(core::time_point now) const noexcept;
 
 private:
@@ -79,6 +83,9 @@
         core::time_point m_reconnect_deadline;
         message m_message; ///< Kept until it is sent.
         bool m_sent = false;
+        body_buffer_ptr m_body;            ///< Null if the message contains it.
+        std::uint64_t m_body_position = 0; ///< Number of bytes that were sent.
+        std::uint64_t m_body_limit = 0;    ///< Number of bytes that may be.
     };
 
     awaitable<void> connect_loop();
@@ -95,9 +102,13 @@
     void on_closed();
     /// Removes the request and passes the result to its handler.
     void complete(std::uint64_t id, run_result result);
+    [[nodiscard]] bool is_silent(core::time_point now) const noexcept;
     void fail_expired(core::time_point now);
     void fail_unsent();
     void send_now(pending_request& request);
+    void on_grant(body_grant const& grant);
+    void send_granted_pieces(std::uint64_t id);
+    void finish_body(pending_request& request);
 
     asio::io_context& m_context;
     peer_link_options m_options;
--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -142,7 +142,7 @@
         mesh::run_request request{
             .m_deadline_left_ms = left_ms, .m_idempotent = idempotent};
         return m_link->run(
-            request,
+            request, nullptr,
             [this](mesh::run_result result)
             {
                 m_results.push_back(std::move(result));
@@ -300,7 +300,7 @@
             .m_on_changes = [](auto&&) {}});
     std::optional<mesh::run_result> received;
     link->run(
-        {.m_deadline_left_ms = 1'000},
+        {.m_deadline_left_ms = 1'000}, nullptr,
         [&received](mesh::run_result result)
         {
             received = std::move(result);
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -45,7 +45,14 @@
     : m_context{context},
       m_options{std::move(options)},
       m_gate{gate},
-      m_acceptor{context}
+      m_acceptor{context},
+      m_bodies{
+          context,
+          {.m_link_rate = m_options.m_link_rate},
+          [this](request_key const& key, std::uint64_t limit)
+          {
+              send_grant(key, limit);
+          }}
 {
 }
 
@@ -153,16 +160,15 @@
     {
         on_resume(sender, *resume);
     }
+    else if (auto* const piece = std::get_if<body_piece>(&value))
+    {
+        request_key const key{
+            .m_incarnation = sender->m_incarnation, .m_id = piece->m_id};
+        m_bodies.on_piece(key, std::move(*piece));
+    }
     else if (auto const* const cancelled = std::get_if<cancel_request>(&value))
     {
-        auto const it = m_requests.find(
-            {.m_incarnation = sender->m_incarnation, .m_id = cancelled->m_id});
-        if (it != m_requests.end() && !it->second.m_ended)
-        {
-            m_gate.cancel(it->second.m_ticket);
-            it->second.m_ended = true;
-            it->second.m_ended_at = clock_now();
-        }
+        on_cancel(sender, *cancelled);
     }
     else if (std::holds_alternative<ping>(value))
     {
@@ -200,6 +206,7 @@
     if (current)
     {
         current->m_stream->close();
+        m_bodies.fail_all_of(greeting.m_incarnation);
     }
     current = sender;
 }
@@ -208,15 +215,47 @@
 {
     request_key const key{
         .m_incarnation = sender->m_incarnation, .m_id = request.m_id};
-    auto& state = m_requests[key];
-    state.m_idempotent = request.m_idempotent;
+    m_requests[key].m_idempotent = request.m_idempotent;
+    following_body body;
+    if (request.m_body_follows)
+    {
+        body.m_expected_in = m_bodies.expected_time(request.m_body_length);
+        body.m_buffer = m_bodies.add(key, request);
+    }
     auto const ticket = m_gate.run(
-        std::move(request),
+        std::move(request), body,
         [this, key](run_result result)
         {
             on_result(key, std::move(result));
         });
     m_requests[key].m_ticket = ticket;
+    m_bodies.grant();
+}
+
+void peer_server::on_cancel(
+    session_ptr const& sender, cancel_request const& cancelled)
+{
+    request_key const key{
+        .m_incarnation = sender->m_incarnation, .m_id = cancelled.m_id};
+    auto const it = m_requests.find(key);
+    if (it == m_requests.end() || it->second.m_ended)
+    {
+        return;
+    }
+    it->second.m_ended = true;
+    it->second.m_ended_at = clock_now();
+    m_gate.cancel(it->second.m_ticket);
+    m_bodies.remove(key);
+}
+
+void peer_server::send_grant(request_key const& key, std::uint64_t limit)
+{
+    auto const it = m_sessions.find(key.m_incarnation);
+    if (it != m_sessions.end())
+    {
+        it->second->m_stream->send(
+            body_grant{.m_id = key.m_id, .m_limit = limit});
+    }
 }
 
 void peer_server::on_resume(
@@ -253,6 +292,7 @@
 
 void peer_server::on_result(request_key const& key, run_result&& result)
 {
+    m_bodies.remove(key);
     result.m_id = key.m_id;
     auto& state = m_requests[key];
     state.m_ended = true;
@@ -267,6 +307,7 @@
 
 void peer_server::on_closed(std::uint64_t incarnation)
 {
+    m_bodies.fail_all_of(incarnation);
     asio::co_spawn(m_context, abandon_unresumed(incarnation), asio::detached);
 }
 
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -16,7 +16,9 @@
 #include <hibiscustide/core/admission/sender_table.hpp>
 
 #include "net/mesh/frame_stream.hpp"
+#include "net/mesh/incoming_bodies.hpp"
 #include "net/mesh/messages.hpp"
+#include "net/mesh/request_key.hpp"
 #include "net/mesh/target_gate.hpp"
 
 namespace hibiscustide::net::mesh
@@ -32,6 +34,8 @@
         std::uint64_t after,
         std::function<void(core::directory::item_changes)> reply)>
         m_changes_after;
+    /// Bytes per second that the link of this VM receives.
+    double m_link_rate = 125e6;
 };
 
 /// Accepts connections from other nodes and passes their requests to the
@@ -54,17 +58,6 @@
     struct session;
     using session_ptr = std::shared_ptr<session>;
 
-    // Identifies a request by the incarnation of its sender and the id that the
-    // sender assigned.
-    struct request_key
-    {
-        std::uint64_t m_incarnation = 0;
-        std::uint64_t m_id = 0;
-
-        friend auto operator<=>(request_key const&, request_key const&) =
-            default;
-    };
-
     struct request_state
     {
         target_gate::ticket m_ticket = 0;
@@ -80,6 +73,8 @@
     void on_message(session_ptr const& sender, message&& value);
     void on_hello(session_ptr const& sender, hello const& greeting);
     void on_run(session_ptr const& sender, run_request&& request);
+    void on_cancel(session_ptr const& sender, cancel_request const& cancelled);
+    void send_grant(request_key const& key, std::uint64_t limit);
     void on_resume(session_ptr const& sender, resume_requests const& resume);
     void remove_old_records(core::time_point now);
     void on_result(request_key const& key, run_result&& result);
@@ -92,6 +87,7 @@
     target_gate& m_gate;
     asio::ip::tcp::acceptor m_acceptor;
     core::admission::sender_table m_senders;
+    incoming_bodies m_bodies;
     std::map<request_key, request_state> m_requests;
     std::map<std::uint64_t, session_ptr> m_sessions; ///< By sender incarnation.
 };
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -59,7 +59,8 @@
     asio::co_spawn(m_context, probe_loop(), asio::detached);
 }
 
-target_gate::ticket target_gate::run(run_request request, done_handler done)
+target_gate::ticket target_gate::run(
+    run_request request, following_body const& body, done_handler done)
 {
     auto const now = clock_now();
     auto const id = m_next_ticket++;
@@ -68,30 +69,38 @@
         refuse(request, done, make_refusal(*why));
         return id;
     }
-    if (m_poison_detector.has_suspects())
-    {
-        auto const blocked = m_poison_detector.remaining_block_time(
-            fingerprint_of(request), now);
-        if (blocked)
-        {
-            refuse(
-                request, done,
-                make_refusal(core::reason::crashes_targets, false, *blocked));
-            return id;
-        }
-    }
     auto active = std::make_shared<active_request>();
     active->m_ticket = id;
     active->m_deadline = now + milliseconds{request.m_deadline_left_ms};
     active->m_objective = now + milliseconds{request.m_objective_left_ms};
+    active->m_request = std::move(request);
+    active->m_body = body.m_buffer;
+    active->m_done = std::move(done);
+    active->update_fingerprint();
+    if (auto const blocked = remaining_block_time(*active))
+    {
+        refuse(
+            active->m_request, active->m_done,
+            make_refusal(core::reason::crashes_targets, false, *blocked));
+        return id;
+    }
+    submit(active, body.m_expected_in, now);
+    return id;
+}
+
+// Starts, queues or refuses the request.
+void target_gate::submit(
+    std::shared_ptr<active_request> const& active,
+    core::duration body_expected_in, core::time_point now)
+{
     core::admission::admission_request const admission{
-        .m_id = id,
-        .m_priority = request.m_priority,
+        .m_id = active->m_ticket,
+        .m_priority = active->m_request.m_priority,
         .m_objective = active->m_objective,
         .m_deadline = active->m_deadline,
-        .m_work = usual_work(request)};
-    active->m_request = std::move(request);
-    active->m_done = std::move(done);
+        .m_work = usual_work(active->m_request),
+        .m_ready = active->is_body_ready(),
+        .m_ready_in = body_expected_in};
     m_queue.set_speed(m_health.speed(now));
     bool const is_cold = m_health.is_cold(now);
     m_queue.set_cold_rate(
@@ -105,9 +114,18 @@
         refuse(
             active->m_request, active->m_done,
             make_refusal(refused->m_reason, false, refused->m_retry_after));
-        return id;
+        return;
+    }
+    m_requests.emplace(active->m_ticket, active);
+    if (active->m_body && !admission.m_ready)
+    {
+        active->m_body->on_change(
+            [this, active]
+            {
+                on_body_changed(active);
+            });
+        active->m_body->want();
     }
-    m_requests.emplace(id, active);
     auto const* const queued =
         std::get_if<core::admission::wait_in_queue>(&decision);
     if (queued != nullptr && queued->m_evicted)
@@ -126,7 +144,43 @@
     {
         m_on_change();
     }
-    return id;
+}
+
+// Starts the waiting request if its body has arrived and a slot is free, or
+// refuses it if its body will not arrive.
+void target_gate::on_body_changed(std::shared_ptr<active_request> const& active)
+{
+    if (!active->is_body_ready())
+    {
+        return;
+    }
+    // The handler is destroyed here, but `active` is needed below.
+    auto const request = active;
+    request->m_body->on_change(nullptr);
+    if (request->m_body->current_state() == body_buffer::state::failed)
+    {
+        if (m_queue.remove(request->m_ticket))
+        {
+            refuse_queued(request->m_ticket, core::reason::caller_left);
+        }
+        return;
+    }
+    request->update_fingerprint();
+    m_queue.mark_ready(request->m_ticket);
+    start_queued_requests();
+}
+
+// How long requests like this one are still blocked because they crash targets;
+// nothing if they are not.
+std::optional<core::duration> target_gate::remaining_block_time(
+    active_request const& active) const
+{
+    if (!m_poison_detector.has_suspects())
+    {
+        return std::nullopt;
+    }
+    return m_poison_detector.remaining_block_time(
+        active.m_fingerprint, clock_now());
 }
 
 void target_gate::cancel(ticket which)
@@ -140,10 +194,11 @@
     active->m_cancelled = true;
     if (m_queue.remove(which))
     {
+        stop_receiving(*active);
         m_requests.erase(it);
         return;
     }
-    if (active->m_request.m_idempotent)
+    if (active->can_be_aborted())
     {
         active->m_scope.cancel();
     }
@@ -161,7 +216,7 @@
     {
         finish(active, make_refusal(core::reason::caller_left));
     }
-    else if (active->m_request.m_idempotent)
+    else if (active->can_be_aborted())
     {
         active->m_scope.cancel();
     }
@@ -260,6 +315,7 @@
     std::shared_ptr<active_request> const& active, run_result result)
 {
     m_requests.erase(active->m_ticket);
+    stop_receiving(*active);
     if (active->m_running)
     {
         release_slot(*active);
@@ -275,6 +331,15 @@
     }
 }
 
+// Removes the handler of the body, which keeps the request alive.
+void target_gate::stop_receiving(active_request const& active)
+{
+    if (active.m_body)
+    {
+        active.m_body->on_change(nullptr);
+    }
+}
+
 void target_gate::refuse(
     run_request const& request, done_handler const& done, run_result&& result)
 {
@@ -335,7 +400,11 @@
             continue;
         }
         auto const active = it->second;
-        auto const why = refusal_reason(active->m_request);
+        auto why = refusal_reason(active->m_request);
+        if (!why && remaining_block_time(*active))
+        {
+            why = core::reason::crashes_targets;
+        }
         if (why)
         {
             release_slot(*active);
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -21,6 +21,7 @@
 #include <hibiscustide/core/directory/directory.hpp>
 #include <hibiscustide/core/routing/placement.hpp>
 
+#include "net/body_buffer.hpp"
 #include "net/cancel_scope.hpp"
 #include "net/connection_pool.hpp"
 #include "net/http_types.hpp"
@@ -47,6 +48,13 @@
     core::duration m_address_reuse{};
 };
 
+/// The body of a request that has not arrived completely.
+struct following_body
+{
+    body_buffer_ptr m_buffer;       ///< Null if the request contains its body.
+    core::duration m_expected_in{}; ///< Expected time until it has arrived.
+};
+
 /// Accepts requests from this node and from peers and runs them at the local
 /// target. Enforces the limits that apply to the target as a whole: its slots,
 /// its rate while it is cold, and no new requests while it drains. Runs on
@@ -67,9 +75,12 @@
     /// Starts to probe the target.
     void start();
 
-    /// Runs, queues or refuses the request. `done` is called exactly once,
-    /// possibly before this function returns, unless the request is cancelled.
-    ticket run(run_request request, done_handler done);
+    /// Runs, queues or refuses the request. A request whose body follows is
+    /// started once the body has arrived or its buffer is full. `done` is
+    /// called exactly once, possibly before this function returns, unless the
+    /// request is cancelled.
+    ticket run(
+        run_request request, following_body const& body, done_handler done);
 
     /// Cancels a request whose caller no longer waits. A queued request is
     /// removed, and a running one is aborted if it is idempotent. `done` is no
@@ -110,7 +121,11 @@
     awaitable<void> probe_loop();
     awaitable<void> probe_once();
     awaitable<void> exchange(std::shared_ptr<active_request> active);
+    void submit(
+        std::shared_ptr<active_request> const& active,
+        core::duration body_expected_in, core::time_point now);
     void start_request(std::shared_ptr<active_request> const& active);
+    static void stop_receiving(active_request const& active);
     void finish(
         std::shared_ptr<active_request> const& active, run_result result);
     void refuse(
@@ -119,6 +134,9 @@
     void release_slot(active_request const& active);
     void refuse_queued(ticket which, core::reason why);
     void start_queued_requests();
+    void on_body_changed(std::shared_ptr<active_request> const& active);
+    [[nodiscard]] std::optional<core::duration> remaining_block_time(
+        active_request const& active) const;
     void update_slots(core::time_point now);
     void update_entry();
     void on_target_ended();
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -47,8 +47,18 @@
         active->m_request.m_idempotent
             ? core::duration{idle_limit}
             : core::duration{max_idle_for_unrepeatable};
-    auto exchanged = co_await m_pool.exchange(
-        request, active->m_deadline, &active->m_scope, max_idle);
+    exchange_result exchanged;
+    if (active->m_body)
+    {
+        exchanged = co_await m_pool.exchange(
+            request, active->m_body, active->m_deadline, &active->m_scope,
+            max_idle);
+    }
+    else
+    {
+        exchanged = co_await m_pool.exchange(
+            request, active->m_deadline, &active->m_scope, max_idle);
+    }
     finish(active, to_result(*active, std::move(exchanged)));
 }
 
@@ -70,9 +80,10 @@
         .m_caller = source.m_caller,
         .m_deadline_left = time_left_until(active.m_deadline)};
     m_protocol.m_write_target(request, fields);
-    bool const has_body = !source.m_body.empty() || source.m_method == "POST" ||
-                          source.m_method == "PUT" ||
-                          source.m_method == "PATCH";
+    bool const has_body =
+        !active.m_body &&
+        (!source.m_body.empty() || source.m_method == "POST" ||
+         source.m_method == "PUT" || source.m_method == "PATCH");
     if (has_body)
     {
         request.content_length(source.m_body.size());
@@ -101,7 +112,7 @@
         if (failure->m_reason == core::reason::connection_broken)
         {
             m_poison_detector.on_connection_lost(
-                fingerprint_of(active.m_request), clock_now());
+                active.m_fingerprint, clock_now());
         }
         m_pool.close_idle();
         return {
@@ -132,8 +143,7 @@
     record_outcome(
         active,
         status >= 500 ? target_outcome::failed : target_outcome::answered);
-    m_poison_detector.on_answered(
-        fingerprint_of(active.m_request), clock_now());
+    m_poison_detector.on_answered(active.m_fingerprint, clock_now());
     auto const now = clock_now();
     auto const took = now - active.m_started_at;
     m_counts.observe_target(took);
--- a/src/libhibiscustide/net/mesh/target_gate_internal.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate_internal.hpp
@@ -17,11 +17,15 @@
 /// idle timeout close idle connections after about ten seconds.
 inline constexpr std::chrono::milliseconds idle_limit{4'000};
 
+/// Part of a body that identifies equal requests.
+inline constexpr std::size_t max_fingerprint_bytes = 65'536;
+
 /// A waiting or running request.
 struct target_gate::active_request
 {
     ticket m_ticket = 0;
     run_request m_request;
+    body_buffer_ptr m_body; ///< Null if the request contains its body.
     done_handler m_done;
     core::time_point m_deadline;
     core::time_point m_objective;
@@ -31,8 +35,39 @@
     std::uint32_t m_slowness = 100;
     /// Requests that the target ran when this one was started, itself included.
     std::uint32_t m_running_at_start = 0;
+    core::admission::fingerprint m_fingerprint{};
     bool m_running = false;
     bool m_cancelled = false;
+
+    /// Sets the hash of the method, the path and the body, or of the part of it
+    /// that has arrived. The hashes of equal requests of different callers are
+    /// equal.
+    void update_fingerprint()
+    {
+        auto const head =
+            core::hash_of(m_request.m_path, core::hash_of(m_request.m_method));
+        std::string_view const body =
+            m_body ? m_body->read(0, max_fingerprint_bytes)
+                   : std::string_view{m_request.m_body};
+        m_fingerprint = core::hash_of(body, head);
+    }
+
+    /// Whether the body has arrived, has failed, or fills its buffer.
+    [[nodiscard]] bool is_body_ready() const
+    {
+        return !m_body ||
+               m_body->current_state() != body_buffer::state::incomplete ||
+               m_body->room() == 0;
+    }
+
+    /// Whether the request may be aborted: it may run again, or its target has
+    /// not got all of it.
+    [[nodiscard]] bool can_be_aborted() const
+    {
+        return m_request.m_idempotent ||
+               (m_body &&
+                m_body->current_state() != body_buffer::state::complete);
+    }
 };
 
 /// Usual processing time of the request at the target.
@@ -41,15 +76,6 @@
     return std::chrono::milliseconds{request.m_work_ms};
 }
 
-/// Hash of the method, the path and the body: equal for equal requests of
-/// different callers.
-inline core::admission::fingerprint fingerprint_of(run_request const& request)
-{
-    auto const head =
-        core::hash_of(request.m_path, core::hash_of(request.m_method));
-    return core::hash_of(request.m_body, head);
-}
-
 /// Returns the result of a request that did not run.
 inline run_result make_refusal(
     core::reason why, bool reached_target = false,
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -18,6 +18,9 @@
 
 using std::chrono::milliseconds;
 
+// Bytes per second of a link of 1 Mbit/s.
+constexpr double bytes_per_s_of_1_mbps = 125'000;
+
 // Maximum number of concurrent requests on one caller's connection.
 constexpr std::size_t max_pipelined = 64;
 
@@ -82,7 +85,8 @@
            .m_hello =
                {.m_node = settings.m_peer_listen.m_address,
                 .m_incarnation = m_incarnation},
-           .m_changes_after = m_handlers.m_changes_after},
+           .m_changes_after = m_handlers.m_changes_after,
+           .m_link_rate = settings.m_link_mbps * bytes_per_s_of_1_mbps},
           m_gate},
       m_status_exchange{
           m_context,
@@ -130,9 +134,10 @@
     m_caller_server = std::make_shared<http_server>(
         m_context, options,
         [this](
-            http_request& request, std::shared_ptr<cancel_scope> const& scope)
+            http_request& request, body_buffer_ptr const& body,
+            std::shared_ptr<cancel_scope> const& scope)
         {
-            return m_dispatcher.serve(request, scope);
+            return m_dispatcher.serve(request, body, scope);
         },
         malformed_reply);
     auto failure = m_caller_server->start();
