--- a/src/libhibiscustide/net/mesh/incoming_bodies.cpp
+++ b/src/libhibiscustide/net/mesh/incoming_bodies.cpp
@@ -39,7 +39,7 @@
     {
         length = static_cast<std::uint64_t>(request.m_body_length);
     }
-    auto const buffer = std::make_shared<body_buffer>(body_buffer_options{
+    auto buffer = std::make_shared<body_buffer>(body_buffer_options{
         .m_length = length, .m_capacity = m_options.m_max_buffered});
     buffer->on_room(
         [this, key]
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -154,19 +154,17 @@
     {
         return;
     }
-    // The handler is destroyed here, but `active` is needed below.
-    auto const request = active;
-    request->m_body->on_change(nullptr);
-    if (request->m_body->current_state() == body_buffer::state::failed)
+    active->m_body->on_change(nullptr);
+    if (active->m_body->current_state() == body_buffer::state::failed)
     {
-        if (m_queue.remove(request->m_ticket))
+        if (m_queue.remove(active->m_ticket))
         {
-            refuse_queued(request->m_ticket, core::reason::caller_left);
+            refuse_queued(active->m_ticket, core::reason::caller_left);
         }
         return;
     }
-    request->update_fingerprint();
-    m_queue.mark_ready(request->m_ticket);
+    active->update_fingerprint();
+    m_queue.mark_ready(active->m_ticket);
     start_queued_requests();
 }
 
