Overload: decide once at the ingress; late callers start after those in time

Retries of callers counted as new requests, so capacity went to answers that were late in any case, and the calm state came back seconds after the burst.

Change: the report of a gate states the wait of a new request. The ingress refuses a request that no reachable gate can answer in time, and after one refusal for lack of room (three for requests that are urgent for their service). The stated remaining time of a caller gives the time since its first attempt (caller_age); the objective is counted from there. A gate starts requests that can still meet their objective first and lets one late request for four slots wait. Retry-After: a caller that can still be in time returns when capacity is expected; a late one after up to a third of the time that it has left.

--- a/src/include/hibiscustide/core/admission/admission_queue.hpp
+++ b/src/include/hibiscustide/core/admission/admission_queue.hpp
@@ -62,15 +62,15 @@
 /// The queue protects a target from bursts above its capacity, and the last
 /// targets of a service from overload when the others fail one after another.
 ///
-/// - Requests of the least urgent priority are refused on arrival if they can't
-///   be answered within their objective, so that no capacity is spent on late
-///   answers. More urgent requests are refused only if they can't be answered
-///   by their deadline.
+/// - Requests of the least urgent priority that can't be answered within their
+///   objective are refused on arrival, so that no capacity is spent on late
+///   answers; only a few of them may wait. More urgent requests are refused
+///   only if they can't be answered by their deadline.
 /// - Urgent requests start first and may evict others from a full queue. As
 ///   many slots as urgent requests have used recently are reserved for them, so
 ///   that they don't wait for long requests of low urgency.
-/// - Requests that have become late while they waited get only the slots that
-///   no other request can use.
+/// - Requests that can't meet their objective any more start after the others
+///   of the same priority, also if they came first.
 /// - While the target's machine is slow, a request that would finish earlier if
 ///   it started after the slow period stays in the queue until then.
 ///
@@ -118,6 +118,10 @@
     /// Frees the slot of a running request.
     void finish(std::uint64_t id, time_point now) noexcept;
 
+    /// Expected wait of a new request of the least urgent priority. Requests
+    /// that miss their objective in any case start after it and don't count.
+    [[nodiscard]] duration wait_of_next(time_point now) const;
+
     [[nodiscard]] std::uint32_t running() const noexcept;
     [[nodiscard]] std::uint32_t waiting() const noexcept;
     [[nodiscard]] std::uint32_t slots() const noexcept;
@@ -141,14 +145,35 @@
             default;
     };
 
+    /// Position in the order of starts; the least starts first.
+    struct start_rank
+    {
+        std::uint32_t m_priority = 0;
+        bool m_late = false; ///< Whether it misses its objective in any case.
+        time_point m_objective{};
+        std::uint64_t m_id = 0;
+
+        friend auto operator<=>(start_rank const&, start_rank const&) = default;
+    };
+
     [[nodiscard]] bool is_urgent(queue_entry const& waiting) const noexcept;
     [[nodiscard]] bool has_free_slot(queue_entry const& waiting) const noexcept;
     [[nodiscard]] std::uint32_t reserved_slots() const noexcept;
     void update_urgent_demand(time_point now) noexcept;
     [[nodiscard]] duration expected_wait(
         queue_entry const& entry, time_point now) const;
-    [[nodiscard]] bool can_finish_in_time(
-        queue_entry const& waiting, duration wait, time_point now) const;
+    [[nodiscard]] bool can_finish_by(
+        time_point latest_end, queue_entry const& waiting, duration wait,
+        time_point now) const;
+    [[nodiscard]] bool may_wait(
+        queue_entry const& entry, duration wait, time_point now) const;
+    [[nodiscard]] std::size_t late_waiting(time_point now) const;
+    [[nodiscard]] start_rank rank_of(
+        queue_entry const& waiting, time_point now) const;
+    [[nodiscard]] std::set<queue_entry>::const_iterator last_waiting(
+        time_point now) const;
+    [[nodiscard]] bool is_first_to_start(
+        queue_entry const& entry, time_point now) const;
     [[nodiscard]] bool is_deferred(queue_entry const& waiting) const;
     [[nodiscard]] bool is_ready(queue_entry const& waiting) const;
     [[nodiscard]] time_point slot_free_at(
--- a/src/include/hibiscustide/core/retry/retry_after.hpp
+++ b/src/include/hibiscustide/core/retry/retry_after.hpp
@@ -6,25 +6,43 @@
 
 #include <chrono>
 
+#include <hibiscustide/core/time.hpp>
+
 namespace hibiscustide::core::retry
 {
 
 /// Minimum time until a retry.
-inline constexpr std::chrono::milliseconds min_retry_after{100};
+inline constexpr std::chrono::milliseconds min_retry_after{20};
 
 /// Maximum random extension of the wait, as a share of the wait. It spreads the
 /// retries of callers that were refused at the same time.
 inline constexpr double max_jitter_share = 0.5;
 
-/// The time after which a refused caller should retry. `capacity_expected_in`
-/// is the expected time until a target can take the request. `jitter` is a
-/// uniform random number from 0 to 1: the share of the maximum extension by
-/// which this wait is extended.
+/// Callers wait at most for this share of the time that they have left.
+inline constexpr double max_wait_share = 1.0 / 3.0;
+
+/// A refused request and the state of its service.
+struct refusal
+{
+    /// Expected time until a target can take the request.
+    duration m_capacity_expected_in{};
+    duration m_usual_work{};     ///< Usual processing time.
+    duration m_objective_left{}; ///< Until the answer is late.
+    duration m_deadline_left{};  ///< Until the caller stops waiting.
+    /// Whether it was refused because the targets have too much work.
+    bool m_overloaded = true;
+};
+
+/// The time after which a refused caller should retry. `jitter` is a uniform
+/// random number from 0 to 1 that spreads the retries of callers that were
+/// refused at the same time.
 ///
-/// After a burst above the capacity of the targets, callers retry once capacity
-/// is free again, and not all at once.
+/// A caller that can still get its answer in time retries once capacity is
+/// expected, at least after min_retry_after. For any other caller of an
+/// overloaded service, there is room after the burst that caused the refusal,
+/// so it waits for nearly max_wait_share of the time that it has left.
 [[nodiscard]] std::chrono::milliseconds compute_retry_after(
-    std::chrono::milliseconds capacity_expected_in, double jitter) noexcept;
+    refusal const& refused, double jitter) noexcept;
 
 } // namespace hibiscustide::core::retry
 
--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -33,6 +33,8 @@
     /// The share of its slots with the highest throughput, in percent, as
     /// measured at this target; 0 if it is not known.
     std::uint32_t m_measured_share_percent = 0;
+    /// Expected time until a new request of the lowest priority starts.
+    std::uint32_t m_wait_ms = 0;
 
     friend auto operator<=>(target_report const&, target_report const&) =
         default;
@@ -91,6 +93,9 @@
     /// no longer holds; see on_report().
     [[nodiscard]] speed speed_at(time_point now) const noexcept;
 
+    /// Requests that this node has sent since the last report.
+    [[nodiscard]] std::uint32_t sent_since_report() const noexcept;
+
     /// Estimated number of requests at the target.
     [[nodiscard]] double load() const noexcept;
 
@@ -140,6 +145,34 @@
     std::span<placement_candidate const> candidates, duration usual_work,
     time_point now);
 
+/// What a request needs from a target.
+struct request_needs
+{
+    duration m_usual_work{};     ///< Usual processing time.
+    duration m_objective_left{}; ///< Until the answer is late.
+    duration m_deadline_left{};  ///< Until the caller stops waiting.
+    /// Whether its priority is higher than the lowest of its service. Gates
+    /// refuse an urgent request only if it would miss its deadline.
+    bool m_urgent = false;
+};
+
+/// Returns nothing if a candidate is expected to admit the request, or if none
+/// is reachable and has capacity, so that nothing is known about their load.
+/// Otherwise returns the expected time until one would admit it.
+///
+/// When the load exceeds the capacity of a service, its gates refuse what they
+/// cannot answer in time. The reports already show that, so the request is
+/// refused without being sent to one gate after the other.
+[[nodiscard]] std::optional<duration> expected_wait_for_room(
+    std::span<placement_candidate const> candidates, request_needs const& needs,
+    time_point now);
+
+/// Returns the number of gates without room after which a request is refused.
+/// In an overload, another attempt takes a slot from another caller at best, so
+/// only urgent requests get further attempts: the work of their callers is lost
+/// if they fail.
+[[nodiscard]] std::size_t max_full_gates(request_needs const& needs) noexcept;
+
 /// Returns the position of the candidate with the lowest expected cost.
 /// Candidates that are unreachable or have no capacity are chosen only if there
 /// are no others. Returns nothing if all candidates are excluded. `tie` rotates
--- a/src/libhibiscustide/core/admission/admission_queue.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 
 namespace hibiscustide::core::admission
 {
@@ -24,6 +25,10 @@
 // A request that is past its expected end is assumed to end after this time.
 constexpr std::chrono::milliseconds overdue_remaining_time{30};
 
+// Late requests of the least urgent priority that may wait, as a part of the
+// slots.
+constexpr std::uint32_t late_waiting_divisor = 4;
+
 // Lower bound of the cold rate, in requests per second, when a wait is
 // computed.
 constexpr double min_cold_rate = 0.1;
@@ -60,7 +65,7 @@
         .m_work = request.m_work};
     m_max_priority_number = std::max(m_max_priority_number, request.m_priority);
     update_urgent_demand(now);
-    bool const is_first = m_queue.empty() || entry < *m_queue.begin();
+    bool const is_first = is_first_to_start(entry, now);
     bool const can_start = request.m_ready && may_start &&
                            has_free_slot(entry) && !is_deferred(entry);
     if (is_first && can_start)
@@ -69,19 +74,19 @@
         return run_now{};
     }
     auto const wait = std::max(expected_wait(entry, now), request.m_ready_in);
-    if (!can_finish_in_time(entry, wait, now))
+    refuse_request const refusal{
+        .m_reason = reason::queue_full, .m_retry_after = wait};
+    if (!may_wait(entry, wait, now))
     {
-        return refuse_request{
-            .m_reason = reason::queue_full, .m_retry_after = wait};
+        return refusal;
     }
     wait_in_queue decision;
     if (m_queue.size() >= std::size_t{m_slots} * max_waiting_per_slot)
     {
-        auto const last = std::prev(m_queue.end());
-        if (last->m_priority <= entry.m_priority)
+        auto const last = last_waiting(now);
+        if (rank_of(*last, now) <= rank_of(entry, now))
         {
-            return refuse_request{
-                .m_reason = reason::queue_full, .m_retry_after = wait};
+            return refusal;
         }
         decision.m_evicted = last->m_id;
         m_not_ready.erase(last->m_id);
@@ -103,23 +108,17 @@
 std::optional<std::uint64_t> admission_queue::start_next(time_point now)
 {
     update_urgent_demand(now);
-    auto chosen = std::find_if(
-        m_queue.begin(), m_queue.end(),
-        [this, now](queue_entry const& waiting)
-        {
-            return is_ready(waiting) && has_free_slot(waiting) &&
-                   !is_deferred(waiting) &&
-                   can_finish_in_time(waiting, duration{}, now);
-        });
-    if (chosen == m_queue.end())
+    auto chosen = m_queue.end();
+    for (auto it = m_queue.begin(); it != m_queue.end(); ++it)
     {
-        chosen = std::find_if(
-            m_queue.begin(), m_queue.end(),
-            [this, now](queue_entry const& waiting)
-            {
-                return is_ready(waiting) && has_free_slot(waiting) &&
-                       !is_deferred(waiting) && waiting.m_deadline > now;
-            });
+        bool const can_start = is_ready(*it) && has_free_slot(*it) &&
+                               !is_deferred(*it) && it->m_deadline > now;
+        bool const is_better = chosen == m_queue.end() ||
+                               rank_of(*it, now) < rank_of(*chosen, now);
+        if (can_start && is_better)
+        {
+            chosen = it;
+        }
     }
     if (chosen == m_queue.end())
     {
@@ -188,6 +187,16 @@
     }
 }
 
+duration admission_queue::wait_of_next(time_point now) const
+{
+    queue_entry const next{
+        .m_priority = m_max_priority_number,
+        .m_objective = time_point::max(),
+        .m_id = std::numeric_limits<std::uint64_t>::max(),
+        .m_deadline = time_point::max()};
+    return expected_wait(next, now);
+}
+
 std::uint32_t admission_queue::running() const noexcept
 {
     return static_cast<std::uint32_t>(m_running.size());
@@ -237,19 +246,32 @@
     m_demand_updated_at = now;
 }
 
+// Whether no waiting request would start before this one.
+bool admission_queue::is_first_to_start(
+    queue_entry const& entry, time_point now) const
+{
+    auto const own_rank = rank_of(entry, now);
+    return std::none_of(
+        m_queue.begin(), m_queue.end(),
+        [&](queue_entry const& waiting)
+        {
+            return rank_of(waiting, now) < own_rank;
+        });
+}
+
 duration admission_queue::expected_wait(
     queue_entry const& entry, time_point now) const
 {
     duration work{};
     std::size_t ahead = 0;
+    auto const own_rank = rank_of(entry, now);
     for (auto const& waiting : m_queue)
     {
-        if (entry < waiting)
+        if (rank_of(waiting, now) < own_rank)
         {
-            break;
+            work += waiting.m_work;
+            ++ahead;
         }
-        work += waiting.m_work;
-        ++ahead;
     }
     auto wait = slot_free_at(ahead, work, now) - now;
     if (m_cold_rate)
@@ -305,15 +327,70 @@
     return best_wait(m_speed, waiting.m_work) > duration{};
 }
 
-bool admission_queue::can_finish_in_time(
-    queue_entry const& waiting, duration wait, time_point now) const
+bool admission_queue::can_finish_by(
+    time_point latest_end, queue_entry const& waiting, duration wait,
+    time_point now) const
 {
-    auto const end =
-        now + wait + processing_time_after(m_speed, wait, waiting.m_work);
-    auto const latest_end =
-        is_urgent(waiting) ? waiting.m_deadline
-                           : std::min(waiting.m_objective, waiting.m_deadline);
-    return end <= latest_end;
+    return now + wait + processing_time_after(m_speed, wait, waiting.m_work) <=
+           latest_end;
+}
+
+// Whether a request that cannot start now is queued.
+bool admission_queue::may_wait(
+    queue_entry const& entry, duration wait, time_point now) const
+{
+    if (!can_finish_by(entry.m_deadline, entry, wait, now))
+    {
+        return false;
+    }
+    if (is_urgent(entry) || can_finish_by(entry.m_objective, entry, wait, now))
+    {
+        return true;
+    }
+    bool const is_late =
+        !can_finish_by(entry.m_objective, entry, duration{}, now);
+    return is_late &&
+           late_waiting(now) <
+               std::max<std::size_t>(m_slots / late_waiting_divisor, 1);
+}
+
+std::size_t admission_queue::late_waiting(time_point now) const
+{
+    auto const count = std::count_if(
+        m_queue.begin(), m_queue.end(),
+        [this, now](queue_entry const& waiting)
+        {
+            return !is_urgent(waiting) && rank_of(waiting, now).m_late;
+        });
+    return static_cast<std::size_t>(count);
+}
+
+// Requests that can still meet their objective go before others of the same
+// priority. After a burst, a queue by age alone would answer every request too
+// late.
+admission_queue::start_rank admission_queue::rank_of(
+    queue_entry const& waiting, time_point now) const
+{
+    bool const is_late = !can_finish_by(
+        std::min(waiting.m_objective, waiting.m_deadline), waiting, duration{},
+        now);
+    return {
+        .m_priority = waiting.m_priority,
+        .m_late = is_late,
+        .m_objective = waiting.m_objective,
+        .m_id = waiting.m_id};
+}
+
+// The waiting request that would start last. Precondition: one is waiting.
+std::set<admission_queue::queue_entry>::const_iterator
+admission_queue::last_waiting(time_point now) const
+{
+    return std::max_element(
+        m_queue.begin(), m_queue.end(),
+        [this, now](queue_entry const& left, queue_entry const& right)
+        {
+            return rank_of(left, now) < rank_of(right, now);
+        });
 }
 
 void admission_queue::start(queue_entry const& waiting, time_point now)
--- a/src/libhibiscustide/core/admission/admission_queue_test.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue_test.cpp
@@ -101,6 +101,53 @@
     CHECK(order == std::vector<std::uint64_t>{3, 2});
 }
 
+TEST_CASE("a request that misses its objective in any case starts after one "
+          "that can still meet it")
+{
+    admission::admission_queue queue;
+    queue.set_slots(4);
+    for (std::uint64_t id = 1; id <= 4; ++id)
+    {
+        CHECK(runs(queue.submit(make_request(id), true, start)));
+    }
+    CHECK(waits(queue.submit(make_request(5, 2, 50ms), true, start)));
+    CHECK(waits(queue.submit(make_request(6, 2, 400ms), true, start)));
+    queue.finish(1, start);
+    CHECK(queue.start_next(start) == 6);
+    queue.finish(2, start);
+    CHECK(queue.start_next(start) == 5);
+}
+
+TEST_CASE("of the requests that miss their objective in any case, one for four "
+          "slots may wait")
+{
+    admission::admission_queue queue;
+    queue.set_slots(8);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+    {
+        CHECK(runs(queue.submit(make_request(id), true, start)));
+    }
+    CHECK(waits(queue.submit(make_request(9, 2, 50ms), true, start)));
+    CHECK(waits(queue.submit(make_request(10, 2, 50ms), true, start)));
+    CHECK(is_refused(queue.submit(make_request(11, 2, 50ms), true, start)));
+    CHECK(waits(queue.submit(make_request(12, 2, 400ms), true, start)));
+}
+
+TEST_CASE("the wait of the next request is the time until a slot is free")
+{
+    admission::admission_queue queue;
+    queue.set_slots(2);
+    CHECK(queue.wait_of_next(start) == duration{});
+    auto const short_work = make_request(1, 2, 500ms, 2s, 40ms);
+    auto const long_work = make_request(2, 2, 500ms, 2s, 100ms);
+    CHECK(runs(queue.submit(short_work, true, start)));
+    CHECK(queue.wait_of_next(start) == duration{});
+    CHECK(runs(queue.submit(long_work, true, start)));
+    CHECK(queue.wait_of_next(start) == 40ms);
+    CHECK(waits(queue.submit(make_request(3), true, start)));
+    CHECK(queue.wait_of_next(start) == 100ms);
+}
+
 TEST_CASE("an urgent request evicts a less urgent one from a full queue")
 {
     admission::admission_queue queue;
--- a/src/libhibiscustide/core/retry/retry_after.cpp
+++ b/src/libhibiscustide/core/retry/retry_after.cpp
@@ -5,12 +5,30 @@
 namespace hibiscustide::core::retry
 {
 
-std::chrono::milliseconds compute_retry_after(
-    std::chrono::milliseconds capacity_expected_in, double jitter) noexcept
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// Part of the longest wait over which the retries of late requests are spread.
+constexpr double late_spread_share = 0.25;
+
+} // namespace
+
+milliseconds compute_retry_after(refusal const& refused, double jitter) noexcept
 {
-    auto const wait = std::max(capacity_expected_in, min_retry_after);
-    auto const added = wait * (jitter * max_jitter_share);
-    return wait + std::chrono::duration_cast<std::chrono::milliseconds>(added);
+    using seconds = std::chrono::duration<double>;
+    seconds const earliest =
+        std::max<duration>(refused.m_capacity_expected_in, min_retry_after);
+    seconds const longest = refused.m_deadline_left * max_wait_share;
+    bool const is_late =
+        refused.m_overloaded &&
+        earliest + refused.m_usual_work > seconds{refused.m_objective_left};
+    auto const wait =
+        is_late
+            ? std::max(earliest, longest * (1.0 - late_spread_share * jitter))
+            : earliest * (1.0 + max_jitter_share * jitter);
+    return std::chrono::duration_cast<milliseconds>(wait);
 }
 
 } // namespace hibiscustide::core::retry
--- a/src/libhibiscustide/core/retry/retry_after_test.cpp
+++ b/src/libhibiscustide/core/retry/retry_after_test.cpp
@@ -9,11 +9,44 @@
 namespace retry = hibiscustide::core::retry;
 using namespace std::chrono_literals;
 
-TEST_CASE("a retry waits for the expected capacity, and at least the minimum")
+namespace
 {
-    CHECK(retry::compute_retry_after(0ms, 0.0) == retry::min_retry_after);
-    CHECK(retry::compute_retry_after(800ms, 0.0) == 800ms);
-    CHECK(retry::compute_retry_after(800ms, 1.0) == 1'200ms);
+
+retry::refusal make_refusal(std::chrono::milliseconds capacity_expected_in)
+{
+    return {
+        .m_capacity_expected_in = capacity_expected_in,
+        .m_usual_work = 100ms,
+        .m_objective_left = 1'500ms,
+        .m_deadline_left = 6s};
+}
+
+} // namespace
+
+TEST_CASE("a caller that can be answered in time waits for the expected "
+          "capacity, and at least for the minimum")
+{
+    CHECK(
+        retry::compute_retry_after(make_refusal(0ms), 0.0) ==
+        retry::min_retry_after);
+    CHECK(retry::compute_retry_after(make_refusal(800ms), 0.0) == 800ms);
+    CHECK(retry::compute_retry_after(make_refusal(800ms), 1.0) == 1'200ms);
+}
+
+// An early retry would take capacity from requests that can still be answered
+// in time.
+TEST_CASE("a caller that cannot be answered in time waits nearly as long as it "
+          "may")
+{
+    auto late = make_refusal(100ms);
+    late.m_objective_left = -200ms;
+    CHECK(retry::compute_retry_after(late, 0.0) == 2'000ms);
+    CHECK(retry::compute_retry_after(late, 1.0) == 1'500ms);
+    late.m_overloaded = false;
+    CHECK(retry::compute_retry_after(late, 0.0) == 100ms);
+    late.m_overloaded = true;
+    late.m_capacity_expected_in = 3s;
+    CHECK(retry::compute_retry_after(late, 0.0) == 3'000ms);
 }
 
 TEST_CASE("replay of a burst: callers refused together retry spread over time")
@@ -27,7 +60,8 @@
     for (std::size_t n = 0; n < callers; ++n)
     {
         auto const after =
-            retry::compute_retry_after(400ms, draw(random)) - 400ms;
+            retry::compute_retry_after(make_refusal(400ms), draw(random)) -
+            400ms;
         ++returns.at(static_cast<std::size_t>(after / 20ms));
     }
     CHECK(*std::max_element(returns.begin(), returns.end()) < callers / 6);
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -18,6 +18,10 @@
 // Weight of the slowdown of requests that share a target.
 constexpr double contention_factor = 1.0;
 
+// Gates without room after which a request is refused.
+constexpr std::size_t max_full_gates_for_urgent = 3;
+constexpr std::size_t max_full_gates_for_others = 1;
+
 } // namespace
 
 void target_view::on_report(
@@ -104,6 +108,11 @@
         .m_mean_slowness = reported.m_mean_slowness};
 }
 
+std::uint32_t target_view::sent_since_report() const noexcept
+{
+    return m_sent_since_report;
+}
+
 double target_view::load() const noexcept
 {
     double const reported =
@@ -176,6 +185,72 @@
     return least;
 }
 
+// Expected time until a request that is sent now starts. The wait that the
+// target's node reported gets shorter with its age; each request that this node
+// has sent since, in excess of the free slots, makes it longer.
+static duration expected_wait(
+    target_view const& view, duration usual_work, time_point now)
+{
+    auto const& report = view.report();
+    duration const reported = std::chrono::milliseconds{report.m_wait_ms};
+    auto const age = now - view.reported_at();
+    auto const rest = std::max(reported - age, duration{});
+    std::uint32_t const used = report.m_running + report.m_waiting;
+    std::uint32_t const free =
+        report.m_slots > used ? report.m_slots - used : 0;
+    std::uint32_t const sent = view.sent_since_report();
+    std::uint32_t const excess = sent > free ? sent - free : 0;
+    auto const work = expected_completion_time(view.speed_at(now), usual_work);
+    return rest + work * excess / std::max<std::uint32_t>(report.m_slots, 1);
+}
+
+// Whether the gate of a target is expected to admit a request that waits for
+// this time.
+static bool has_room(
+    target_view const& view, request_needs const& needs, duration wait,
+    time_point now)
+{
+    auto const time = wait + processing_time_after(
+                                 view.speed_at(now), wait, needs.m_usual_work);
+    // A request that would be late gets a free slot if it is not urgent.
+    bool const has_free_slot = wait == duration{};
+    auto const latest_end = needs.m_urgent || has_free_slot
+                                ? needs.m_deadline_left
+                                : needs.m_objective_left;
+    return time <= latest_end;
+}
+
+std::optional<duration> expected_wait_for_room(
+    std::span<placement_candidate const> candidates, request_needs const& needs,
+    time_point now)
+{
+    std::optional<duration> least;
+    for (auto const& candidate : candidates)
+    {
+        auto const& view = *candidate.m_view;
+        bool const is_known = !candidate.m_excluded &&
+                              is_reachable(candidate, now) &&
+                              has_capacity(view.report());
+        if (!is_known)
+        {
+            continue;
+        }
+        auto const wait = expected_wait(view, needs.m_usual_work, now);
+        if (has_room(view, needs, wait, now))
+        {
+            return std::nullopt;
+        }
+        least = std::min(least.value_or(wait), wait);
+    }
+    return least;
+}
+
+std::size_t max_full_gates(request_needs const& needs) noexcept
+{
+    return needs.m_urgent ? max_full_gates_for_urgent
+                          : max_full_gates_for_others;
+}
+
 std::optional<std::size_t> place(
     std::span<placement_candidate const> candidates, duration usual_work,
     std::size_t tie, time_point now)
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -55,6 +55,76 @@
         choose({{.m_view = &slow}, {.m_view = &fast}, {.m_view = &full}}) == 1);
 }
 
+TEST_CASE("a request is refused by the reports only if no target admits it in "
+          "time")
+{
+    auto full_report = make_report(10);
+    full_report.m_wait_ms = 300;
+    auto const full = make_view(full_report);
+    auto const free = make_view(make_report(3));
+    routing::request_needs const needs{
+        .m_usual_work = 100ms,
+        .m_objective_left = 350ms,
+        .m_deadline_left = 2s};
+    auto const wait_for =
+        [&needs](std::vector<routing::placement_candidate> const& candidates)
+    {
+        return routing::expected_wait_for_room(candidates, needs, start);
+    };
+    CHECK(wait_for({{.m_view = &full}}) == 300ms);
+    CHECK_FALSE(wait_for({{.m_view = &full}, {.m_view = &free}}).has_value());
+    // Nothing is known about the load if no target may be chosen.
+    CHECK_FALSE(wait_for({}).has_value());
+    CHECK_FALSE(
+        wait_for({{.m_view = &full, .m_responsive = false}}).has_value());
+    CHECK(
+        wait_for({{.m_view = &full}, {.m_view = &free, .m_excluded = true}}) ==
+        300ms);
+}
+
+TEST_CASE("a reported wait gets shorter with its age and longer with requests "
+          "that are sent")
+{
+    auto full_report = make_report(10);
+    full_report.m_wait_ms = 300;
+    auto full = make_view(full_report);
+    std::vector<routing::placement_candidate> const candidates{
+        {.m_view = &full}};
+    routing::request_needs const needs{
+        .m_usual_work = 100ms,
+        .m_objective_left = 200ms,
+        .m_deadline_left = 2s};
+    CHECK(
+        routing::expected_wait_for_room(candidates, needs, start + 100ms) ==
+        200ms);
+    full.on_sent();
+    CHECK(
+        routing::expected_wait_for_room(candidates, needs, start + 100ms) ==
+        210ms);
+}
+
+TEST_CASE("an urgent request needs only to meet its deadline")
+{
+    auto full_report = make_report(10);
+    full_report.m_wait_ms = 300;
+    auto const full = make_view(full_report);
+    std::vector<routing::placement_candidate> const candidates{
+        {.m_view = &full}};
+    routing::request_needs needs{
+        .m_usual_work = 100ms,
+        .m_objective_left = 200ms,
+        .m_deadline_left = 500ms,
+        .m_urgent = true};
+    CHECK_FALSE(
+        routing::expected_wait_for_room(candidates, needs, start).has_value());
+    CHECK(routing::max_full_gates(needs) == 3);
+    needs.m_deadline_left = 350ms;
+    CHECK(
+        routing::expected_wait_for_room(candidates, needs, start).has_value());
+    needs.m_urgent = false;
+    CHECK(routing::max_full_gates(needs) == 1);
+}
+
 TEST_CASE("the same failure domain decides only between similar costs")
 {
     auto const here = make_view(make_report(3));
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -138,6 +138,10 @@
 void call::place_attempt()
 {
     auto const now = clock_now();
+    if (refuse_if_no_room(now))
+    {
+        return;
+    }
     auto const node = can_send_again() ? choose_node(now) : nullptr;
     if (node)
     {
@@ -156,6 +160,41 @@
     retry_placement_or_refuse(now);
 }
 
+// Refuses the request if no target is expected to admit it, or if enough gates
+// have refused it for lack of room. An attempt that is running goes on. Returns
+// whether no further attempt may be placed.
+bool call::refuse_if_no_room(core::time_point now)
+{
+    auto const candidates = list_candidates(
+        now,
+        [this](node_entry const& node)
+        {
+            return contains(m_refused, &node) || contains(m_failed, &node);
+        });
+    core::routing::request_needs const needs{
+        .m_usual_work = m_options.m_usual_work,
+        .m_objective_left = m_options.m_objective - now,
+        .m_deadline_left = m_options.m_deadline - now,
+        .m_urgent = m_options.m_urgent};
+    auto const wait =
+        core::routing::expected_wait_for_room(candidates, needs, now);
+    if (!wait && m_full_gates < core::routing::max_full_gates(needs))
+    {
+        return false;
+    }
+    if (wait)
+    {
+        m_last_refusal = {
+            .m_reason = core::reason::queue_full,
+            .m_retry_after_ms = to_milliseconds(*wait).count()};
+    }
+    if (running_attempts() == 0)
+    {
+        finish(m_last_failure.value_or(m_last_refusal), std::nullopt);
+    }
+    return true;
+}
+
 // Schedules another placement round, or refuses the call if its placement time
 // is over.
 void call::retry_placement_or_refuse(core::time_point now)
@@ -276,6 +315,7 @@
          {"reason", core::to_string(result.m_reason)},
          {"reached_target", std::int64_t{result.m_reached_target}},
          {"retry_after_ms", result.m_retry_after_ms}});
+    m_full_gates += result.m_reason == core::reason::queue_full ? 1 : 0;
     bool const reached = result.m_reached_target;
     bool const is_blocked = result.m_reason == core::reason::crashes_targets;
     m_last_refusal = std::move(result);
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -45,6 +45,7 @@
     core::directory::route m_route;
     core::time_point m_began_at;
     core::time_point m_objective;  ///< A later answer is late.
+    bool m_urgent = false;         ///< See core::routing::request_needs.
     core::time_point m_deadline;   ///< The caller stops waiting at this time.
     core::duration m_usual_work{}; ///< Usual processing time.
     std::shared_ptr<core::retry::windowed_retry_budget> m_retry_budget;
@@ -97,6 +98,7 @@
     void hedge_if_slow(core::time_point now);
     void finish(run_result result, std::optional<std::size_t> index);
     void retry_placement_or_refuse(core::time_point now);
+    [[nodiscard]] bool refuse_if_no_room(core::time_point now);
     void cancel_attempts();
     [[nodiscard]] node_entry_ptr choose_node(core::time_point now) const;
     [[nodiscard]] double best_other_cost(core::time_point now) const;
@@ -118,6 +120,7 @@
     /// Nodes that failed the request or respond too slowly.
     std::vector<node_entry const*> m_failed;
     std::optional<core::time_point> m_retry_placement_at;
+    std::size_t m_full_gates = 0; ///< Gates that refused for lack of room.
     /// Returned if no later attempt succeeds.
     std::optional<run_result> m_last_failure;
     run_result m_last_refusal;
--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -305,6 +305,7 @@
         visit(value.m_target.m_cold);
         visit(value.m_target.m_open);
         visit(value.m_target.m_measured_share_percent);
+        visit(value.m_target.m_wait_ms);
         visit(value.m_crashes.m_crashes);
         visit(value.m_crashes.m_cleared);
     }
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -35,6 +35,10 @@
 // Weight of one answer in the moving average of the usual processing time.
 constexpr double work_weight = 0.05;
 
+// Least Retry-After if no target can be reached or accepts requests. A target
+// that refuses single requests may accept the next one at once.
+constexpr milliseconds unavailable_retry_after{100};
+
 // Retry-After of requests that arrive before the first configuration.
 constexpr milliseconds no_configuration_retry_after{300};
 
@@ -52,6 +56,14 @@
     return core::may_have_run{.m_reason = result.m_reason};
 }
 
+// Whether the request was refused because the targets have more work than they
+// can do.
+bool is_overload(core::reason why)
+{
+    return why == core::reason::queue_full ||
+           why == core::reason::deadline_passed;
+}
+
 std::string_view to_string_view(beast::string_view value)
 {
     return {value.data(), value.size()};
@@ -107,7 +119,10 @@
     auto options = make_call_options(request, fields, *entry);
     options.m_body = body;
     auto const route = options.m_route;
-    auto const deadline = options.m_deadline;
+    call_times const times{
+        .m_objective = options.m_objective,
+        .m_deadline = options.m_deadline,
+        .m_usual_work = options.m_usual_work};
     auto const began_at = options.m_began_at;
     auto const version = options.m_config_version;
     auto const service = options.m_request.m_service;
@@ -148,7 +163,7 @@
     {
         co_return make_malformed_body_reply(body->failure(), fields.m_attempt);
     }
-    co_return to_http(std::move(end), fields.m_attempt, deadline);
+    co_return to_http(std::move(end), fields.m_attempt, times);
 }
 
 void dispatcher::set_directory(core::directory::directory_ptr const& current)
@@ -161,6 +176,15 @@
         m_routes = core::routing::route_table{
             std::shared_ptr<core::directory::configuration const>{
                 current, &current->config()}};
+        m_least_urgent.clear();
+        for (auto const& route : current->config().m_routes)
+        {
+            for (auto const& part : route.m_services)
+            {
+                auto& least = m_least_urgent[part.m_service];
+                least = std::max(least, route.m_priority);
+            }
+        }
     }
 }
 
@@ -208,6 +232,10 @@
     auto const timeout = std::min<milliseconds>(
         fields.m_deadline_left.value_or(default_deadline), route.m_timeout);
     auto const usual_work = usual_work_of(route);
+    auto const age = fields.m_deadline_left
+                         ? m_caller_ages[route.m_name].on_request(
+                               *fields.m_deadline_left, now)
+                         : core::duration{};
     run_request sent{
         .m_attempt = fields.m_attempt,
         .m_service = service,
@@ -234,7 +262,8 @@
         .m_request = std::move(sent),
         .m_route = route,
         .m_began_at = now,
-        .m_objective = now + route.m_latency_objective,
+        .m_objective = now + route.m_latency_objective - age,
+        .m_urgent = is_urgent(route),
         .m_deadline = now + timeout,
         .m_usual_work = usual_work,
         .m_retry_budget = retry_budget_for(service),
@@ -257,6 +286,18 @@
     return budget;
 }
 
+// Whether another route to one of the route's services is less urgent.
+bool dispatcher::is_urgent(core::directory::route const& route) const
+{
+    return std::any_of(
+        route.m_services.begin(), route.m_services.end(),
+        [this, &route](core::directory::weighted_service const& part)
+        {
+            auto const it = m_least_urgent.find(part.m_service);
+            return it != m_least_urgent.end() && route.m_priority < it->second;
+        });
+}
+
 core::duration& dispatcher::usual_work_of(core::directory::route const& route)
 {
     std::chrono::duration<double> const objective = route.m_latency_objective;
@@ -266,8 +307,9 @@
 }
 
 http_response dispatcher::to_http(
-    call_result&& end, std::string const& attempt, core::time_point deadline)
+    call_result&& end, std::string const& attempt, call_times const& times)
 {
+    auto const now = clock_now();
     auto& result = end.m_result;
     if (result.m_outcome == outcome::answered)
     {
@@ -282,17 +324,29 @@
     }
     if (result.m_outcome == outcome::may_have_run)
     {
-        bool const is_late = result.m_reason == core::reason::deadline_passed ||
-                             clock_now() >= deadline;
+        // The gate's deadline passes up to a millisecond before this node's.
+        bool const is_late =
+            result.m_reason == core::reason::deadline_passed ||
+            result.m_reason == core::reason::response_timeout ||
+            now >= times.m_deadline;
         return make_error_reply(
             is_late ? status::gateway_timeout : status::bad_gateway, attempt,
             result.m_reason, {});
     }
     std::uniform_real_distribution<double> uniform{0.0, 1.0};
+    auto const least = result.m_reason == core::reason::target_refused
+                           ? core::retry::min_retry_after
+                           : unavailable_retry_after;
+    core::retry::refusal const refused{
+        .m_capacity_expected_in =
+            std::max(milliseconds{result.m_retry_after_ms}, least),
+        .m_usual_work = times.m_usual_work,
+        .m_objective_left = times.m_objective - now,
+        .m_deadline_left = times.m_deadline - now,
+        .m_overloaded = is_overload(result.m_reason)};
     return make_error_reply(
         status::service_unavailable, attempt, result.m_reason,
-        core::retry::compute_retry_after(
-            milliseconds{result.m_retry_after_ms}, uniform(m_random)));
+        core::retry::compute_retry_after(refused, uniform(m_random)));
 }
 
 http_response dispatcher::make_error_reply(
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <hibiscustide/core/directory/directory.hpp>
+#include <hibiscustide/core/retry/caller_age.hpp>
 #include <hibiscustide/core/routing/route_table.hpp>
 
 #include "net/cancel_scope.hpp"
@@ -56,6 +57,14 @@
     [[nodiscard]] std::size_t active_calls() const noexcept;
 
 private:
+    /// The times of a call that determine its refusal.
+    struct call_times
+    {
+        core::time_point m_objective;
+        core::time_point m_deadline;
+        core::duration m_usual_work{};
+    };
+
     awaitable<void> tick_loop();
     void start_ticking();
     [[nodiscard]] call_options make_call_options(
@@ -65,11 +74,11 @@
         status code, std::string const& attempt);
     [[nodiscard]] std::shared_ptr<core::retry::windowed_retry_budget>
     retry_budget_for(std::string const& service);
+    [[nodiscard]] bool is_urgent(core::directory::route const& route) const;
     [[nodiscard]] core::duration& usual_work_of(
         core::directory::route const& route);
     [[nodiscard]] http_response to_http(
-        call_result&& end, std::string const& attempt,
-        core::time_point deadline);
+        call_result&& end, std::string const& attempt, call_times const& times);
     [[nodiscard]] http_response make_error_reply(
         status code, std::string const& attempt, core::reason why,
         std::chrono::milliseconds retry_after);
@@ -88,6 +97,9 @@
     std::map<std::string, std::shared_ptr<core::retry::windowed_retry_budget>>
         m_retry_budgets;
     std::map<std::string, core::duration> m_usual_work; ///< By route name.
+    std::map<std::string, core::retry::caller_age> m_caller_ages; ///< Likewise.
+    /// Least urgent priority of the routes to each service.
+    std::map<std::string, std::uint32_t> m_least_urgent;
     std::set<std::shared_ptr<call>> m_calls;
     asio::steady_timer m_tick_timer;
     bool m_ticking = false;
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -258,7 +258,9 @@
         .m_cold = cold,
         .m_open = is_open,
         .m_measured_share_percent = static_cast<std::uint32_t>(
-            m_contention.measured_share(now).value_or(0) * 100)};
+            m_contention.measured_share(now).value_or(0) * 100),
+        .m_wait_ms = static_cast<std::uint32_t>(
+            m_queue.wait_of_next(now) / std::chrono::milliseconds{1})};
 }
 
 void target_gate::set_share_of_peers(std::optional<double> share)
