Gate: bound the memory of answers that do not end

Cause: each answer of a target could take 8 MB, and there was no bound for all of them. A test with 20 endless chunked answers at once showed a peak of 244 to 276 MB of allocated memory; a node may use 64 MB.

The gate's health checks accept bodies of up to 64 KB.

--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -124,7 +124,9 @@
 connection_pool::connection_pool(
     asio::io_context& context, connection_pool_options options)
     : m_context{context},
-      m_options{std::move(options)}
+      m_options{std::move(options)},
+      m_response_quota{std::make_shared<core::admission::buffer_quota>(
+          m_options.m_response_quota)}
 {
 }
 
@@ -300,10 +302,12 @@
     connection& used, http_request const& request, core::time_point deadline)
 {
     bool const is_head = request.method() == beast::http::verb::head;
+    auto const quota = m_response_quota;
+    core::admission::buffer_quota::share share{*quota};
     for (int skipped = 0; skipped <= max_skipped_responses; ++skipped)
     {
         auto read = co_await read_response(
-            used.m_stream, used.m_buffer, m_options.m_limits, is_head,
+            used.m_stream, used.m_buffer, m_options.m_limits, share, is_head,
             deadline);
         auto const* const response = std::get_if<http_response>(&read);
         bool const is_match = response == nullptr ||
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -20,6 +20,7 @@
 #include "net/cancel_scope.hpp"
 #include "net/http_io.hpp"
 #include "net/http_types.hpp"
+#include <hibiscustide/core/admission/buffer_quota.hpp>
 #include <hibiscustide/core/endpoint.hpp>
 #include <hibiscustide/core/time.hpp>
 #include <hibiscustide/core/verdict.hpp>
@@ -39,6 +40,7 @@
     std::chrono::milliseconds m_idle_timeout{1'000};
     std::chrono::milliseconds m_connect_timeout{1'000};
     message_limits m_limits{.m_max_body_bytes = 8'388'608};
+    core::admission::buffer_quota_options m_response_quota;
     /// Whether a response belongs to the request. A response that does not is a
     /// late or duplicate response to an earlier request and is skipped. If the
     /// function is empty, every response is accepted.
@@ -120,6 +122,9 @@
     std::deque<std::unique_ptr<connection>> m_idle;
     std::shared_ptr<std::size_t> m_open_count =
         std::make_shared<std::size_t>(0);
+    /// Shared, because an exchange that is aborted at process exit may outlive
+    /// the pool.
+    std::shared_ptr<core::admission::buffer_quota> m_response_quota;
     std::uint64_t m_total_opened = 0;
 };
 
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -159,12 +159,30 @@
 
 awaitable<std::variant<http_response, beast::error_code>> read_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    message_limits const& limits, bool is_head, core::time_point deadline)
+    message_limits const& limits, core::admission::buffer_quota::share& share,
+    bool is_head, core::time_point deadline)
 {
     http::response_parser<http::string_body> parser;
     parser.skip(is_head);
+    parser.header_limit(limits.m_max_header_bytes);
+    parser.body_limit(limits.m_max_body_bytes);
     stream.expires_at(deadline);
-    co_return co_await read_message(stream, buffer, limits, parser);
+    while (!parser.is_done())
+    {
+        auto const [error, count] =
+            co_await http::async_read_some(stream, buffer, parser, no_throw);
+        static_cast<void>(count);
+        if (error)
+        {
+            co_return error;
+        }
+        // The string may have reserved twice its size.
+        if (!share.grow_to(parser.get().body().capacity()))
+        {
+            co_return beast::error_code{http::error::body_limit};
+        }
+    }
+    co_return parser.release();
 }
 
 awaitable<write_result> write_request(
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "net/http_types.hpp"
+#include <hibiscustide/core/admission/buffer_quota.hpp>
 #include <hibiscustide/core/time.hpp>
 
 namespace hibiscustide::net
@@ -79,10 +80,13 @@
     beast::tcp_stream& stream, core::duration timeout);
 
 /// Reads a complete response before `deadline`. `is_head` states that it is the
-/// response to a HEAD request and so has no body.
+/// response to a HEAD request and so has no body. Fails with
+/// `http::error::body_limit` if the body exceeds the limits or its share of a
+/// quota.
 awaitable<std::variant<http_response, beast::error_code>> read_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    message_limits const& limits, bool is_head, core::time_point deadline);
+    message_limits const& limits, core::admission::buffer_quota::share& share,
+    bool is_head, core::time_point deadline);
 
 /// The result of writing a message.
 struct write_result
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -22,6 +22,9 @@
 
 constexpr milliseconds probe_idle_limit{5'000};
 
+// Health checks are answered without a body as a rule.
+constexpr std::size_t max_probe_body_bytes = 65'536;
+
 } // namespace
 
 target_gate::target_gate(
@@ -46,7 +49,9 @@
            }}},
       m_probe_pool{
           context,
-          {.m_remote = m_options.m_target, .m_idle_timeout = probe_idle_limit}},
+          {.m_remote = m_options.m_target,
+           .m_idle_timeout = probe_idle_limit,
+           .m_limits = {.m_max_body_bytes = max_probe_body_bytes}}},
       m_probe_timer{context},
       m_directory{std::make_shared<core::directory::directory const>()},
       m_health{clock_now(), m_options.m_address_reuse},
