Directory: spread changes over random sources, compressed, within a part of the link

Each question got the whole reply, a configuration of 1,568 more routes, queued in memory behind a link of 10 Mbit/s.

Change: change_requests asks a random node that has the change, one of the own domain first, more rarely while the change does not spread; a starting node asks one seed at a time. change_reply_budget limits replies to half of the link; a request beyond it gets no reply and goes to another node. The codec compresses replies (zlib).

--- a/src/libhibiscustide/net/mesh/codec.cpp
+++ b/src/libhibiscustide/net/mesh/codec.cpp
@@ -5,6 +5,8 @@
 
 #include <msgpuck.h>
 
+#include "net/mesh/compression.hpp"
+
 namespace hibiscustide::net::mesh
 {
 
@@ -14,6 +16,10 @@
 using core::directory::item;
 using core::directory::item_changes;
 
+// Published items are texts that repeat many words, and a large configuration
+// goes to every node.
+constexpr std::size_t min_compressed_bytes = 1'024;
+
 // Position of the kind in the header of a frame.
 constexpr unsigned frame_kind_shift = 30;
 
@@ -278,6 +284,11 @@
     {
         visit(value.m_after);
     }
+    else if constexpr (std::is_same_v<type, compressed_message>)
+    {
+        visit(value.m_size);
+        visit(value.m_bytes);
+    }
     else if constexpr (std::is_same_v<type, item_changes>)
     {
         visit(value.m_after);
@@ -390,6 +401,32 @@
     return std::nullopt;
 }
 
+// Encodes a message as it is.
+std::string encode_plain(message const& value)
+{
+    writer out;
+    out(std::uint64_t{value.index()});
+    std::visit(
+        [&out](auto const& alternative)
+        {
+            for_each_field(out, alternative);
+        },
+        value);
+    return out.take();
+}
+
+std::optional<message> decode_plain(std::string_view bytes)
+{
+    if (!is_value_sequence(bytes))
+    {
+        return std::nullopt;
+    }
+    reader in{bytes};
+    std::uint64_t index = 0;
+    in(index);
+    return in.is_valid() ? read_alternative(in, index) : std::nullopt;
+}
+
 } // namespace
 
 std::string encode_frame_header(frame_header const& header)
@@ -421,27 +458,35 @@
 
 std::string encode_message(message const& value)
 {
-    writer out;
-    out(std::uint64_t{value.index()});
-    std::visit(
-        [&out](auto const& alternative)
-        {
-            for_each_field(out, alternative);
-        },
-        value);
-    return out.take();
+    auto bytes = encode_plain(value);
+    bool const is_compressed = std::holds_alternative<item_changes>(value) &&
+                               bytes.size() >= min_compressed_bytes;
+    if (!is_compressed)
+    {
+        return bytes;
+    }
+    return encode_plain(
+        compressed_message{.m_size = bytes.size(), .m_bytes = compress(bytes)});
 }
 
 std::optional<message> decode_message(std::string_view bytes)
 {
-    if (!is_value_sequence(bytes))
+    auto value = decode_plain(bytes);
+    auto const* const compressed =
+        value ? std::get_if<compressed_message>(&*value) : nullptr;
+    if (compressed == nullptr)
+    {
+        return value;
+    }
+    if (compressed->m_size > max_message_bytes)
     {
         return std::nullopt;
     }
-    reader in{bytes};
-    std::uint64_t index = 0;
-    in(index);
-    return in.is_valid() ? read_alternative(in, index) : std::nullopt;
+    auto const inner = decompress(compressed->m_bytes, compressed->m_size);
+    auto decoded = inner ? decode_plain(*inner) : std::nullopt;
+    bool const is_nested =
+        decoded && std::holds_alternative<compressed_message>(*decoded);
+    return is_nested ? std::nullopt : std::move(decoded);
 }
 
 std::string encode_status(node_status const& value)
--- a/src/libhibiscustide/net/mesh/frame_stream.cpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -59,7 +59,20 @@
     auto const bytes = encode_message(value);
     bool const is_urgent = bytes.size() <= max_urgent_bytes &&
                            !std::holds_alternative<body_piece>(value);
-    if (is_urgent || std::holds_alternative<run_request>(value))
+    queue(bytes, is_urgent || std::holds_alternative<run_request>(value));
+}
+
+void frame_stream::send_encoded(std::string_view bytes)
+{
+    if (m_open)
+    {
+        queue(bytes, bytes.size() <= max_urgent_bytes);
+    }
+}
+
+void frame_stream::queue(std::string_view bytes, bool is_urgent)
+{
+    if (is_urgent)
     {
         m_urgent_frames += encode_frame_header({.m_length = bytes.size()});
         m_urgent_frames += bytes;
--- a/src/libhibiscustide/net/mesh/frame_stream.hpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.hpp
@@ -47,6 +47,10 @@
     /// others.
     void send(message const& value);
 
+    /// Queues an encoded message that is not a piece of a body; otherwise like
+    /// send().
+    void send_encoded(std::string_view bytes);
+
     /// Closes the connection without calling the handlers.
     void close();
 
@@ -61,6 +65,7 @@
 private:
     awaitable<void> read_loop();
     awaitable<void> write_loop();
+    void queue(std::string_view bytes, bool is_urgent);
     void queue_in_fragments(std::string_view message_bytes);
     [[nodiscard]] std::string take_next_bytes();
     [[nodiscard]] bool handle_frames();
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -157,9 +157,20 @@
         default;
 };
 
+/// Contains another message in compressed form. Only the codec uses it.
+struct compressed_message
+{
+    std::uint64_t m_size = 0; ///< Bytes of the message, decompressed.
+    std::string m_bytes;
+
+    friend auto operator<=>(
+        compressed_message const&, compressed_message const&) = default;
+};
+
 using message = std::variant<
     hello, run_request, run_result, cancel_request, resume_requests, ping,
-    changes_request, core::directory::item_changes, body_grant, body_piece>;
+    changes_request, core::directory::item_changes, body_grant, body_piece,
+    compressed_message>;
 
 /// The status of a node, sent as a datagram on changes and periodically.
 struct node_status
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "net/clock.hpp"
+#include "net/mesh/codec.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net::mesh
@@ -32,6 +33,10 @@
 constexpr milliseconds id_retention{15'000};
 constexpr milliseconds cleanup_interval{1'000};
 
+// The size of a reply to a request for changes is known only once it has been
+// prepared, so few are prepared at the same time.
+constexpr std::size_t max_replies_in_preparation = 4;
+
 } // namespace
 
 struct peer_server::session
@@ -52,7 +57,8 @@
           [this](request_key const& key, std::uint64_t limit)
           {
               send_grant(key, limit);
-          }}
+          }},
+      m_change_replies{m_options.m_link_rate}
 {
 }
 
@@ -176,17 +182,40 @@
     }
     else if (auto const* const requested = std::get_if<changes_request>(&value))
     {
-        std::weak_ptr<frame_stream> const stream = sender->m_stream;
-        m_options.m_changes_after(
-            requested->m_after,
-            [stream](core::directory::item_changes const& changes)
-            {
-                if (auto const open_stream = stream.lock())
-                {
-                    open_stream->send(changes);
-                }
-            });
+        on_changes_request(sender, *requested);
+    }
+}
+
+// A request that exceeds the budget gets no reply: the sender asks again, and
+// by then more nodes have the changes.
+void peer_server::on_changes_request(
+    session_ptr const& sender, changes_request const& requested)
+{
+    if (m_replies_in_preparation >= max_replies_in_preparation ||
+        !m_change_replies.may_reply(clock_now()))
+    {
+        return;
     }
+    ++m_replies_in_preparation;
+    std::weak_ptr<frame_stream> const stream = sender->m_stream;
+    m_options.m_changes_after(
+        requested.m_after,
+        [this, stream](core::directory::item_changes const& changes)
+        {
+            --m_replies_in_preparation;
+            if (auto const open_stream = stream.lock())
+            {
+                send_changes(*open_stream, changes);
+            }
+        });
+}
+
+void peer_server::send_changes(
+    frame_stream& stream, core::directory::item_changes const& changes)
+{
+    auto const bytes = encode_message(changes);
+    m_change_replies.on_reply(bytes.size(), clock_now());
+    stream.send_encoded(bytes);
 }
 
 // Only the newest connection of a sender is used. Requests that still arrive on
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -3,6 +3,7 @@
 #ifndef HIBISCUSTIDE_NET_MESH_PEER_SERVER_HPP
 #define HIBISCUSTIDE_NET_MESH_PEER_SERVER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <hibiscustide/core/admission/sender_table.hpp>
+#include <hibiscustide/core/directory/change_exchange.hpp>
 
 #include "net/mesh/frame_stream.hpp"
 #include "net/mesh/incoming_bodies.hpp"
@@ -74,6 +76,10 @@
     void on_hello(session_ptr const& sender, hello const& greeting);
     void on_run(session_ptr const& sender, run_request&& request);
     void on_cancel(session_ptr const& sender, cancel_request const& cancelled);
+    void on_changes_request(
+        session_ptr const& sender, changes_request const& requested);
+    void send_changes(
+        frame_stream& stream, core::directory::item_changes const& changes);
     void send_grant(request_key const& key, std::uint64_t limit);
     void on_resume(session_ptr const& sender, resume_requests const& resume);
     void remove_old_records(core::time_point now);
@@ -90,6 +96,8 @@
     incoming_bodies m_bodies;
     std::map<request_key, request_state> m_requests;
     std::map<std::uint64_t, session_ptr> m_sessions; ///< By sender incarnation.
+    core::directory::change_reply_budget m_change_replies;
+    std::size_t m_replies_in_preparation = 0;
 };
 
 } // namespace hibiscustide::net::mesh
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -32,7 +32,6 @@
 
 // Minimum interval between requests for changes: the time that a peer has to
 // respond before another one is asked.
-constexpr milliseconds min_changes_request_interval{150};
 
 std::uint64_t random_incarnation()
 {
@@ -107,7 +106,8 @@
            {
                on_status(address, status);
            }},
-          m_nodes}
+          m_nodes},
+      m_random{m_incarnation}
 {
     m_gate.on_change(
         [this]
@@ -171,19 +171,28 @@
         m_context,
         [this]
         {
-            for (auto const& seed : m_settings.m_seeds)
-            {
-                auto const node = m_nodes.find_or_add(seed.m_address);
-                if (!node->m_is_self)
-                {
-                    node->m_link->request_changes(0);
-                }
-            }
+            request_changes_from_next_seed();
             // Makes this node known to the seeds, which then send their status.
             m_status_exchange.send_to_all();
         });
 }
 
+// Asks one seed at a time, because each one sends all items.
+void traffic_thread::request_changes_from_next_seed()
+{
+    auto const& seeds = m_settings.m_seeds;
+    for (std::size_t n = 0; n < seeds.size(); ++n)
+    {
+        auto const& seed = seeds[m_next_seed++ % seeds.size()];
+        auto const node = m_nodes.find_or_add(seed.m_address);
+        if (!node->m_is_self)
+        {
+            node->m_link->request_changes(0);
+            return;
+        }
+    }
+}
+
 void traffic_thread::reply(
     std::function<void(core::directory::item_changes)> const& send_reply,
     core::directory::item_changes changes)
@@ -286,28 +295,24 @@
     request_missing_changes();
 }
 
-// Requests changes from a node with a higher revision, preferably from one of
-// the same failure domain.
+// Requests changes from one of the nodes with a higher revision.
 void traffic_thread::request_missing_changes()
 {
-    auto const now = clock_now();
-    if (now - m_changes_requested_at < min_changes_request_interval)
-    {
-        return;
-    }
-    node_entry_ptr best;
+    std::vector<node_entry_ptr> newer;
+    std::vector<core::directory::change_requests::source> sources;
     for (auto const& [address, node] : m_nodes.all())
     {
-        bool const is_newer = !node->m_is_self && node->m_revision > m_revision;
-        if (is_newer && (!best || node->m_same_domain))
+        if (!node->m_is_self && node->m_revision > m_revision)
         {
-            best = node;
+            newer.push_back(node);
+            sources.push_back({.m_same_domain = node->m_same_domain});
         }
     }
-    if (best)
+    auto const chosen =
+        m_change_requests.next(sources, m_revision, m_random(), clock_now());
+    if (chosen)
     {
-        m_changes_requested_at = now;
-        best->m_link->request_changes(m_revision);
+        newer.at(*chosen)->m_link->request_changes(m_revision);
     }
 }
 
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -3,9 +3,12 @@
 #ifndef HIBISCUSTIDE_NET_MESH_TRAFFIC_THREAD_HPP
 #define HIBISCUSTIDE_NET_MESH_TRAFFIC_THREAD_HPP
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 
@@ -13,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <hibiscustide/core/config/mesh_settings.hpp>
+#include <hibiscustide/core/directory/change_exchange.hpp>
 
 #include "net/http_server.hpp"
 #include "net/mesh/directory_sync.hpp"
@@ -66,7 +70,7 @@
     /// Applies a new directory.
     void update(directory_update const& update);
 
-    /// Requests all published items from the seeds.
+    /// Requests all published items from the next seed.
     void request_changes_from_seeds();
 
     /// Sends the requested changes to a peer.
@@ -97,6 +101,7 @@
 private:
     void on_status(std::string const& address, node_status const& status);
     void request_missing_changes();
+    void request_changes_from_next_seed();
     void apply(directory_update const& update);
 
     asio::io_context m_context{1};
@@ -112,7 +117,9 @@
     status_exchange m_status_exchange;
     std::shared_ptr<http_server> m_caller_server;
     std::uint64_t m_revision = 0;
-    core::time_point m_changes_requested_at{};
+    core::directory::change_requests m_change_requests;
+    std::size_t m_next_seed = 0;
+    std::mt19937_64 m_random;
     std::thread m_thread;
 };
 
