Ingress: a planned stop answers requests that had arrived unread

Cause: when a stopping node closed its idle connections, a request that was in the socket but had not been read yet was cut off with its connection. Shown by a new test in http_server_test (failed before). Connections with unread data are now read once more and answered.

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -178,10 +178,18 @@
     m_stopped = true;
     for (auto const& connection : m_sessions)
     {
-        if (!connection->is_busy())
+        if (connection->is_busy())
         {
-            connection->m_stream.close();
+            continue;
+        }
+        // A request that has arrived is answered, although it has not been
+        // read yet.
+        if (has_unread_data(connection->m_stream.socket().native_handle()))
+        {
+            connection->m_reading = true;
+            continue;
         }
+        connection->m_stream.close();
     }
 }
 
@@ -300,9 +308,10 @@
     {
         co_await connection->m_response_written.async_wait(no_throw);
     }
-    // After the server has stopped, requests that have not been read are left
-    // to the caller, which can send them elsewhere.
-    if (connection->m_closing || m_stopped)
+    // After the server has stopped, requests that arrive are left to the
+    // caller, which can send them elsewhere.
+    bool const is_stopped = m_stopped && !connection->m_reading;
+    if (connection->m_closing || is_stopped)
     {
         co_return false;
     }
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -122,6 +122,24 @@
     CHECK(test.m_server->busy_connections() == 0);
 }
 
+TEST_CASE("a stopped server answers a request that had arrived before it "
+          "closed its idle connections")
+{
+    fixture test;
+    test.send("/1");
+    test.m_ready["/1"] = true;
+    CHECK_FALSE(test.read().empty());
+    // The request is in the socket, but the server has not run since.
+    test.send("/2");
+    test.m_ready["/2"] = true;
+    test.m_server->begin_drain();
+    test.m_server->stop_accepting();
+    test.m_server->close_idle();
+    CHECK(test.m_server->busy_connections() == 1);
+    CHECK(test.read().find("/2") != std::string::npos);
+    CHECK(test.m_server->busy_connections() == 0);
+}
+
 TEST_CASE("a connection with a request in progress is not closed as idle")
 {
     fixture test;
--- a/src/libhibiscustide/net/socket.cpp
+++ b/src/libhibiscustide/net/socket.cpp
@@ -49,6 +49,11 @@
     return count == 0 || (count < 0 && !would_block());
 }
 
+bool has_unread_data(int descriptor) noexcept
+{
+    return peek(descriptor) > 0;
+}
+
 bool is_idle(int descriptor) noexcept
 {
     return peek(descriptor) < 0 && would_block();
--- a/src/libhibiscustide/net/socket.hpp
+++ b/src/libhibiscustide/net/socket.hpp
@@ -22,6 +22,9 @@
 /// Reads no data.
 [[nodiscard]] bool is_closed_by_peer(int descriptor) noexcept;
 
+/// Whether data has arrived that has not been read.
+[[nodiscard]] bool has_unread_data(int descriptor) noexcept;
+
 /// Whether the connection is open and has no unread data. Only then can an idle
 /// connection be used for a request.
 [[nodiscard]] bool is_idle(int descriptor) noexcept;
