--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -136,26 +136,12 @@
     http_request const& request, core::time_point deadline, cancel_scope* scope,
     core::duration max_idle)
 {
-    auto acquired = co_await acquire(deadline, max_idle);
+    auto acquired = co_await acquire(deadline, scope, max_idle);
     if (auto const* const failure = std::get_if<exchange_failure>(&acquired))
     {
         co_return *failure;
     }
     auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
-    if (scope != nullptr)
-    {
-        if (scope->is_cancelled())
-        {
-            release(std::move(used));
-            co_return exchange_failure{
-                .m_sent = false, .m_reason = core::reason::caller_left};
-        }
-        scope->on_cancel(
-            [stream = &used->m_stream]
-            {
-                stream->close();
-            });
-    }
     // The server may respond before it has read the whole request, so the
     // response is read while the request is being written.
     auto const write = std::make_shared<request_write>(request);
@@ -183,26 +169,12 @@
     http_request header, body_buffer_ptr const& body, core::time_point deadline,
     cancel_scope* scope, core::duration max_idle)
 {
-    auto acquired = co_await acquire(deadline, max_idle);
+    auto acquired = co_await acquire(deadline, scope, max_idle);
     if (auto const* const failure = std::get_if<exchange_failure>(&acquired))
     {
         co_return *failure;
     }
     auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
-    if (scope != nullptr && scope->is_cancelled())
-    {
-        release(std::move(used));
-        co_return exchange_failure{
-            .m_sent = false, .m_reason = core::reason::caller_left};
-    }
-    if (scope != nullptr)
-    {
-        scope->on_cancel(
-            [stream = &used->m_stream]
-            {
-                stream->close();
-            });
-    }
     used->m_stream.expires_at(deadline);
     body_writer writer{used->m_stream, body};
     asio::co_spawn(m_context, writer.run(header), asio::detached);
@@ -248,9 +220,36 @@
     return m_total_opened;
 }
 
+// Takes or opens a connection, which is closed if the scope is cancelled.
+awaitable<std::variant<
+    std::unique_ptr<connection_pool::connection>, exchange_failure>>
+connection_pool::acquire(
+    core::time_point deadline, cancel_scope* scope, core::duration max_idle)
+{
+    auto acquired = co_await acquire_unscoped(deadline, max_idle);
+    auto* const used = std::get_if<std::unique_ptr<connection>>(&acquired);
+    if (used == nullptr || scope == nullptr)
+    {
+        co_return acquired;
+    }
+    if (scope->is_cancelled())
+    {
+        release(std::move(*used));
+        co_return exchange_failure{
+            .m_sent = false, .m_reason = core::reason::caller_left};
+    }
+    scope->on_cancel(
+        [stream = &(*used)->m_stream]
+        {
+            stream->close();
+        });
+    co_return acquired;
+}
+
 awaitable<std::variant<
     std::unique_ptr<connection_pool::connection>, exchange_failure>>
-connection_pool::acquire(core::time_point deadline, core::duration max_idle)
+connection_pool::acquire_unscoped(
+    core::time_point deadline, core::duration max_idle)
 {
     if (auto idle = acquire_idle(max_idle))
     {
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -104,7 +104,11 @@
     struct connection;
 
     awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>>
-    acquire(core::time_point deadline, core::duration max_idle);
+    acquire(
+        core::time_point deadline, cancel_scope* scope,
+        core::duration max_idle);
+    awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>>
+    acquire_unscoped(core::time_point deadline, core::duration max_idle);
     [[nodiscard]] std::unique_ptr<connection> acquire_idle(
         core::duration max_idle);
     awaitable<std::variant<http_response, beast::error_code>>
