Overload: a gate with an old report does not end the search; refusals are remembered

Cause: nodes of other failure domains report at most each 1.5 s, so their reports show room that is gone.

Change: only a refusal by a gate whose report is at most 250 ms old ends the search at once; otherwise three gates are tried. The wait that a refusal states counts for later requests until the next report.

--- a/src/include/hibiscustide/core/routing/placement.hpp
+++ b/src/include/hibiscustide/core/routing/placement.hpp
@@ -76,6 +76,13 @@
     /// consecutive failure.
     void on_failed(time_point now) noexcept;
 
+    /// Records that the gate has refused a request for lack of room and expects
+    /// to have room after `wait`. A later report replaces this.
+    void on_full(duration wait, time_point now) noexcept;
+
+    /// When the gate is expected to have room, as its last refusal stated.
+    [[nodiscard]] time_point full_until() const noexcept;
+
     /// Records that a request was answered, which resets the failure count.
     void on_answered() noexcept;
 
@@ -104,6 +111,7 @@
     std::uint64_t m_sequence = 0;
     time_point m_reported_at{};
     time_point m_ejected_until{};
+    time_point m_full_until{};
     std::uint32_t m_in_flight = 0;
     std::uint32_t m_sent_since_report = 0;
     std::uint32_t m_failures = 0;
@@ -167,11 +175,22 @@
     std::span<placement_candidate const> candidates, request_needs const& needs,
     time_point now);
 
-/// Returns the number of gates without room after which a request is refused.
-/// In an overload, another attempt takes a slot from another caller at best, so
-/// only urgent requests get further attempts: the work of their callers is lost
-/// if they fail.
-[[nodiscard]] std::size_t max_full_gates(request_needs const& needs) noexcept;
+/// The gates that have refused a request for lack of room.
+struct full_gates
+{
+    std::size_t m_expected = 0;   ///< Gates with a recent report.
+    std::size_t m_unexpected = 0; ///< Gates with an old report.
+
+    /// Counts a refusal by the gate of this target.
+    void count(target_view const& view, time_point now) noexcept;
+};
+
+/// Whether a request is refused after these gates had no room. In an overload,
+/// another attempt takes a slot from another caller at best. Only two kinds of
+/// requests get further attempts: urgent ones, since the work of their callers
+/// is lost if they fail, and those that went to gates whose load was not known.
+[[nodiscard]] bool has_tried_enough(
+    full_gates const& refused, request_needs const& needs) noexcept;
 
 /// Returns the position of the candidate with the lowest expected cost.
 /// Candidates that are unreachable or have no capacity are chosen only if there
--- a/src/libhibiscustide/core/routing/overload_replay_test.cpp
+++ b/src/libhibiscustide/core/routing/overload_replay_test.cpp
@@ -152,6 +152,7 @@
         duration m_wait{};         // For room, as a gate has stated it.
         double m_work_factor = 1;
         std::vector<bool> m_refused = std::vector<bool>(gates);
+        routing::full_gates m_full_gates;
     };
     using request_ptr = std::shared_ptr<request>;
 
@@ -287,6 +288,7 @@
         sent->m_objective =
             m_now + objective - (m_policy == policy::search ? 0s : age);
         std::fill(sent->m_refused.begin(), sent->m_refused.end(), false);
+        sent->m_full_gates = {};
         ++m_caller_attempts[second_of(m_now)];
         ++m_counts.m_caller_attempts;
         place(sent);
@@ -382,9 +384,7 @@
             .m_deadline_left = sent->m_first_at + deadline - m_now};
         auto const wait = routing::expected_wait_for_room(
             candidates_for(*sent), needs, m_now);
-        auto const full = static_cast<std::size_t>(
-            std::count(sent->m_refused.begin(), sent->m_refused.end(), true));
-        if (!wait && full < routing::max_full_gates(needs))
+        if (!wait && !routing::has_tried_enough(sent->m_full_gates, needs))
         {
             return false;
         }
@@ -453,10 +453,7 @@
             at(m_now + network_delay,
                [this, sent, n, after = refused->m_retry_after]
                {
-                   m_ingresses.at(sent->m_ingress).m_views.at(n).on_ended();
-                   sent->m_refused.at(n) = true;
-                   sent->m_wait = after;
-                   place(sent);
+                   on_refused(sent, n, after);
                });
             return;
         }
@@ -471,12 +468,21 @@
         {
             auto const evicted = each.m_requests.at(*queued.m_evicted);
             each.m_requests.erase(*queued.m_evicted);
-            m_ingresses.at(evicted->m_ingress).m_views.at(n).on_ended();
-            evicted->m_refused.at(n) = true;
-            place(evicted);
+            on_refused(evicted, n, {});
         }
     }
 
+    void on_refused(request_ptr const& sent, std::size_t n, duration wait)
+    {
+        auto& view = m_ingresses.at(sent->m_ingress).m_views.at(n);
+        view.on_ended();
+        sent->m_refused.at(n) = true;
+        sent->m_wait = wait;
+        sent->m_full_gates.count(view, m_now);
+        view.on_full(wait, m_now);
+        place(sent);
+    }
+
     void start_waiting(std::size_t n)
     {
         auto& each = m_gates.at(n);
--- a/src/libhibiscustide/core/routing/placement.cpp
+++ b/src/libhibiscustide/core/routing/placement.cpp
@@ -18,9 +18,11 @@
 // Weight of the slowdown of requests that share a target.
 constexpr double contention_factor = 1.0;
 
-// Gates without room after which a request is refused.
-constexpr std::size_t max_full_gates_for_urgent = 3;
-constexpr std::size_t max_full_gates_for_others = 1;
+// Gates without room after which any request is refused.
+constexpr std::size_t max_full_gates = 3;
+
+// A report up to this age shows the load of a target well enough.
+constexpr std::chrono::milliseconds recent_report_age{250};
 
 } // namespace
 
@@ -35,6 +37,7 @@
     m_sequence = sequence;
     m_report = report;
     m_reported_at = now;
+    m_full_until = {};
     m_sent_since_report = 0;
     m_reports_every_change = reports_every_change;
 }
@@ -65,6 +68,16 @@
         now + std::min(min_ejection_time * (1 << doublings), max_ejection_time);
 }
 
+void target_view::on_full(duration wait, time_point now) noexcept
+{
+    m_full_until = now + wait;
+}
+
+time_point target_view::full_until() const noexcept
+{
+    return m_full_until;
+}
+
 void target_view::on_answered() noexcept
 {
     m_failures = 0;
@@ -194,7 +207,8 @@
     auto const& report = view.report();
     duration const reported = std::chrono::milliseconds{report.m_wait_ms};
     auto const age = now - view.reported_at();
-    auto const rest = std::max(reported - age, duration{});
+    auto const rest =
+        std::max({reported - age, view.full_until() - now, duration{}});
     std::uint32_t const used = report.m_running + report.m_waiting;
     std::uint32_t const free =
         report.m_slots > used ? report.m_slots - used : 0;
@@ -245,10 +259,18 @@
     return least;
 }
 
-std::size_t max_full_gates(request_needs const& needs) noexcept
+void full_gates::count(target_view const& view, time_point now) noexcept
+{
+    bool const is_recent = now - view.reported_at() <= recent_report_age;
+    ++(is_recent ? m_expected : m_unexpected);
+}
+
+bool has_tried_enough(
+    full_gates const& refused, request_needs const& needs) noexcept
 {
-    return needs.m_urgent ? max_full_gates_for_urgent
-                          : max_full_gates_for_others;
+    bool const is_known = refused.m_expected > 0 && !needs.m_urgent;
+    return is_known ||
+           refused.m_expected + refused.m_unexpected >= max_full_gates;
 }
 
 std::optional<std::size_t> place(
--- a/src/libhibiscustide/core/routing/placement_test.cpp
+++ b/src/libhibiscustide/core/routing/placement_test.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 
 namespace routing = hibiscustide::core::routing;
+using hibiscustide::core::duration;
 using hibiscustide::core::time_point;
 using namespace std::chrono_literals;
 
@@ -117,12 +118,51 @@
         .m_urgent = true};
     CHECK_FALSE(
         routing::expected_wait_for_room(candidates, needs, start).has_value());
-    CHECK(routing::max_full_gates(needs) == 3);
+    CHECK_FALSE(routing::has_tried_enough({.m_expected = 2}, needs));
+    CHECK(routing::has_tried_enough({.m_expected = 3}, needs));
     needs.m_deadline_left = 350ms;
     CHECK(
         routing::expected_wait_for_room(candidates, needs, start).has_value());
     needs.m_urgent = false;
-    CHECK(routing::max_full_gates(needs) == 1);
+    CHECK(routing::has_tried_enough({.m_expected = 1}, needs));
+}
+
+TEST_CASE("after a gate with an old report had no room, two others are tried")
+{
+    auto const view = make_view(make_report(3));
+    routing::request_needs const needs{.m_usual_work = 100ms};
+    routing::full_gates refused;
+    refused.count(view, start + 1s);
+    CHECK_FALSE(routing::has_tried_enough(refused, needs));
+    refused.count(view, start + 1s);
+    CHECK_FALSE(routing::has_tried_enough(refused, needs));
+    refused.count(view, start + 1s);
+    CHECK(routing::has_tried_enough(refused, needs));
+    refused = {};
+    refused.count(view, start + 50ms);
+    CHECK(routing::has_tried_enough(refused, needs));
+}
+
+TEST_CASE("a gate without room is avoided until it expects room or sends a "
+          "report")
+{
+    auto view = make_view(make_report(3));
+    std::vector<routing::placement_candidate> const candidates{
+        {.m_view = &view}};
+    routing::request_needs const needs{
+        .m_usual_work = 100ms,
+        .m_objective_left = 200ms,
+        .m_deadline_left = 2s};
+    view.on_full(400ms, start);
+    auto const wait_at = [&](duration passed)
+    {
+        return routing::expected_wait_for_room(
+            candidates, needs, start + passed);
+    };
+    CHECK(wait_at(100ms) == 300ms);
+    CHECK_FALSE(wait_at(400ms).has_value());
+    view.on_report(make_report(3), 2, start + 100ms);
+    CHECK_FALSE(wait_at(100ms).has_value());
 }
 
 TEST_CASE("the same failure domain decides only between similar costs")
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -178,7 +178,7 @@
         .m_urgent = m_options.m_urgent};
     auto const wait =
         core::routing::expected_wait_for_room(candidates, needs, now);
-    if (!wait && m_full_gates < core::routing::max_full_gates(needs))
+    if (!wait && !core::routing::has_tried_enough(m_full_gates, needs))
     {
         return false;
     }
@@ -298,6 +298,11 @@
     if (result.m_outcome == outcome::not_run)
     {
         m_refused.push_back(&node);
+        if (result.m_reason == core::reason::queue_full)
+        {
+            m_full_gates.count(node.m_view, now);
+            node.m_view.on_full(milliseconds{result.m_retry_after_ms}, now);
+        }
         on_not_run(std::move(result));
         return;
     }
@@ -315,7 +320,6 @@
          {"reason", core::to_string(result.m_reason)},
          {"reached_target", std::int64_t{result.m_reached_target}},
          {"retry_after_ms", result.m_retry_after_ms}});
-    m_full_gates += result.m_reason == core::reason::queue_full ? 1 : 0;
     bool const reached = result.m_reached_target;
     bool const is_blocked = result.m_reason == core::reason::crashes_targets;
     m_last_refusal = std::move(result);
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -120,7 +120,7 @@
     /// Nodes that failed the request or respond too slowly.
     std::vector<node_entry const*> m_failed;
     std::optional<core::time_point> m_retry_placement_at;
-    std::size_t m_full_gates = 0; ///< Gates that refused for lack of room.
+    core::routing::full_gates m_full_gates;
     /// Returned if no later attempt succeeds.
     std::optional<run_result> m_last_failure;
     run_result m_last_refusal;
