Gate: a cold target that still accepts requests reports no wait

Cause, found by reading: the reported wait of a cold target was at least one interval of its cold rate, also while it had budget left, so ingresses refused requests that its gate would have started at once.

Change: the wait is zero if the gate would start a request now. The new test failed before (500 ms in place of 0).

--- a/src/include/hibiscustide/core/admission/admission_queue.hpp
+++ b/src/include/hibiscustide/core/admission/admission_queue.hpp
@@ -120,7 +120,8 @@
 
     /// Expected wait of a new request of the least urgent priority. Requests
     /// that miss their objective in any case start after it and don't count.
-    [[nodiscard]] duration wait_of_next(time_point now) const;
+    /// `may_start` as in submit().
+    [[nodiscard]] duration wait_of_next(bool may_start, time_point now) const;
 
     [[nodiscard]] std::uint32_t running() const noexcept;
     [[nodiscard]] std::uint32_t waiting() const noexcept;
--- a/src/libhibiscustide/core/admission/admission_queue.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue.cpp
@@ -187,14 +187,16 @@
     }
 }
 
-duration admission_queue::wait_of_next(time_point now) const
+duration admission_queue::wait_of_next(bool may_start, time_point now) const
 {
     queue_entry const next{
         .m_priority = m_max_priority_number,
         .m_objective = time_point::max(),
         .m_id = std::numeric_limits<std::uint64_t>::max(),
         .m_deadline = time_point::max()};
-    return expected_wait(next, now);
+    bool const starts_now =
+        may_start && has_free_slot(next) && is_first_to_start(next, now);
+    return starts_now ? duration{} : expected_wait(next, now);
 }
 
 std::uint32_t admission_queue::running() const noexcept
--- a/src/libhibiscustide/core/admission/admission_queue_test.cpp
+++ b/src/libhibiscustide/core/admission/admission_queue_test.cpp
@@ -137,15 +137,24 @@
 {
     admission::admission_queue queue;
     queue.set_slots(2);
-    CHECK(queue.wait_of_next(start) == duration{});
+    CHECK(queue.wait_of_next(true, start) == duration{});
     auto const short_work = make_request(1, 2, 500ms, 2s, 40ms);
     auto const long_work = make_request(2, 2, 500ms, 2s, 100ms);
     CHECK(runs(queue.submit(short_work, true, start)));
-    CHECK(queue.wait_of_next(start) == duration{});
+    CHECK(queue.wait_of_next(true, start) == duration{});
     CHECK(runs(queue.submit(long_work, true, start)));
-    CHECK(queue.wait_of_next(start) == 40ms);
+    CHECK(queue.wait_of_next(true, start) == 40ms);
     CHECK(waits(queue.submit(make_request(3), true, start)));
-    CHECK(queue.wait_of_next(start) == 100ms);
+    CHECK(queue.wait_of_next(true, start) == 100ms);
+}
+
+TEST_CASE("a cold target that still accepts a request reports no wait")
+{
+    admission::admission_queue queue;
+    queue.set_slots(4);
+    queue.set_cold_rate(2.0);
+    CHECK(queue.wait_of_next(true, start) == duration{});
+    CHECK(queue.wait_of_next(false, start) == 500ms);
 }
 
 TEST_CASE("an urgent request evicts a less urgent one from a full queue")
--- a/src/libhibiscustide/core/routing/overload_replay_test.cpp
+++ b/src/libhibiscustide/core/routing/overload_replay_test.cpp
@@ -237,7 +237,7 @@
             .m_slots = slots,
             .m_speed = each.m_history.forecast(m_now),
             .m_wait_ms = static_cast<std::uint32_t>(
-                each.m_queue.wait_of_next(m_now) / 1ms)};
+                each.m_queue.wait_of_next(true, m_now) / 1ms)};
         auto const sequence = ++each.m_sequence;
         at(m_now + network_delay,
            [this, n, sent, sequence]
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -252,6 +252,8 @@
                          m_directory->is_in_service(*m_entry) &&
                          entry_matches_instance() && m_health.is_up(now);
     bool const cold = m_health.is_cold(now);
+    std::uint32_t const cold_budget = cold ? m_cold_limiter.available(now) : 0;
+    auto const wait = m_queue.wait_of_next(!cold || cold_budget > 0, now);
     return {
         .m_running = m_queue.running(),
         .m_waiting = m_queue.waiting(),
@@ -259,13 +261,12 @@
         .m_speed = m_health.speed(now),
         .m_failure_percent =
             static_cast<std::uint32_t>(m_health.failure_share(now) * 100),
-        .m_cold_budget = cold ? m_cold_limiter.available(now) : 0,
+        .m_cold_budget = cold_budget,
         .m_cold = cold,
         .m_open = is_open,
         .m_measured_share_percent = static_cast<std::uint32_t>(
             m_contention.measured_share(now).value_or(0) * 100),
-        .m_wait_ms = static_cast<std::uint32_t>(
-            m_queue.wait_of_next(now) / std::chrono::milliseconds{1})};
+        .m_wait_ms = static_cast<std::uint32_t>(wait / milliseconds{1})};
 }
 
 void target_gate::set_share_of_peers(std::optional<double> share)
