--- a/src/include/hibiscustide/core/admission/contention_model.hpp
+++ b/src/include/hibiscustide/core/admission/contention_model.hpp
@@ -23,8 +23,8 @@
 /// some slots free.
 ///
 /// A gate raises the concurrency in steps and measures some requests at each of
-/// them. Until then it uses what the gates of other targets of the same service
-/// have measured, so that a burst is not used up for learning.
+/// them. Until then, the gate uses what the gates of other targets of the same
+/// service have measured, so that a burst need not be spent on measurements.
 ///
 /// The processing time also changes for other reasons, such as slow calls that
 /// the requests make. So the concurrency is at least `min_share` of the slots.
--- a/src/libhibiscustide/core/directory/change_exchange.cpp
+++ b/src/libhibiscustide/core/directory/change_exchange.cpp
@@ -36,8 +36,8 @@
         m_unanswered = std::min(m_unanswered, 2U);
     }
     m_sources = sources.size();
-    // The first request may have been left out by a busy node, so only the
-    // third one comes later.
+    // Busy nodes may not have replied to the first two requests, so the
+    // interval grows only after them.
     auto const doublings =
         std::min(std::max(m_unanswered, 2U) - 2U, max_doublings);
     auto const interval =
--- a/src/libhibiscustide/core/routing/overload_replay_test.cpp
+++ b/src/libhibiscustide/core/routing/overload_replay_test.cpp
@@ -58,8 +58,8 @@
     // Tries each gate, and all of them again for a while. A retry of a caller
     // counts as a new request.
     search,
-    // Refuses by the reports, or after two gates without room. A retry keeps
-    // the objective of the first attempt.
+    // Refuses by the reports, or after a gate without room. A retry keeps the
+    // objective of the first attempt.
     refuse_early,
     // Knows the speeds and starts each request at any gate.
     oracle,
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -390,10 +390,14 @@
     {
         is_permitted = co_await permit_body(connection, sequence, body);
     }
-    bool const is_read =
-        is_permitted && co_await read_body(connection, reader, body);
+    bool is_read = false;
+    if (is_permitted)
+    {
+        is_read = co_await read_body(connection, reader, body);
+    }
     body->on_room(nullptr);
-    co_return is_read&& keep_alive;
+    bool const can_continue = is_read && keep_alive;
+    co_return can_continue;
 }
 
 awaitable<beast::error_code> http_server::read_short_body(
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -97,7 +97,8 @@
     std::map<std::string, std::shared_ptr<core::retry::windowed_retry_budget>>
         m_retry_budgets;
     std::map<std::string, core::duration> m_usual_work; ///< By route name.
-    std::map<std::string, core::retry::caller_age> m_caller_ages; ///< Likewise.
+    /// By route name.
+    std::map<std::string, core::retry::caller_age> m_caller_ages;
     /// Least urgent priority of the routes to each service.
     std::map<std::string, std::uint32_t> m_least_urgent;
     std::set<std::shared_ptr<call>> m_calls;
--- a/src/libhibiscustide/net/mesh/frame_stream.hpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.hpp
@@ -42,9 +42,9 @@
     /// peer closes it or sends a malformed message, but not after close().
     void start(message_handler on_message, closed_handler on_closed);
 
-    /// Queues a message. Drops the message if the stream is closed. Messages of
-    /// up to `max_urgent_bytes`, except pieces of bodies, are sent before all
-    /// others.
+    /// Queues a message. Drops the message if the stream is closed. Requests,
+    /// and messages of up to `max_urgent_bytes` except pieces of bodies, are
+    /// sent before all others.
     void send(message const& value);
 
     /// Queues an encoded message that is not a piece of a body; otherwise like
--- a/src/libhibiscustide/net/mesh/peer_server_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server_test.cpp
@@ -132,9 +132,9 @@
 
 } // namespace
 
-// A connection can be delayed in the network until its sender has replaced it.
-// Over the newer connection, the sender has already been told that the request
-// on the older one is unknown, so it sends the request to another gate.
+// The network can delay a connection until its sender has replaced it. A gate
+// that has answered on the newer connection that a request is unknown must not
+// run that request from the older one: its sender may have chosen another gate.
 TEST_CASE("a connection that is older than the sender's newest one is closed")
 {
     fixture test;
