--- a/src/libhibiscustide/core/admission/contention_model.cpp
+++ b/src/libhibiscustide/core/admission/contention_model.cpp
@@ -103,8 +103,8 @@
 }
 
 // Without a result, the first range without measurements may be used. A request
-// keeps the speed at which it starts, so the measurement slows only the requests
-// that are started in that range.
+// keeps the speed at which it starts, so the measurement slows only the
+// requests that are started in that range.
 std::uint32_t contention_model::best_concurrency(
     std::uint32_t slots, time_point now) const noexcept
 {
