Logs: where silent bytes wait, what a lost sender costs, and how long an attempt was out

The log lines could not distinguish the hypotheses of the incident. peer_silent and peer_unreachable now have the number of pending requests that were sent, whether bytes wait in this node, and the ages of the last bytes and of the ping. peer_responsive (512) ends a silence, sender_lost (513) is logged by a gate that gives up the requests of a sender, and attempt_failed has the target and the time since it was placed. No logic is changed.

--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -111,6 +111,12 @@
     /// A peer with an open connection did not answer a ping in time; the
     /// connection is closed.
     peer_silent = 511,
+    /// A peer that was silent answers again, on the same connection or on the
+    /// one that replaces it.
+    peer_responsive = 512,
+    /// A sender of requests did not reconnect in time after its connection had
+    /// ended, so the gate gave up requests of it.
+    sender_lost = 513,
     /// The target's answer belongs to another attempt and was not used.
     answer_mismatched = 600,
     /// A request of a caller ended, with its verdict.
--- a/src/libhibiscustide/core/observe/events.cpp
+++ b/src/libhibiscustide/core/observe/events.cpp
@@ -44,6 +44,8 @@
     {event::history_lost, level::info, "history_lost"},
     {event::peer_unreachable, level::warn, "peer_unreachable"},
     {event::peer_silent, level::warn, "peer_silent"},
+    {event::peer_responsive, level::info, "peer_responsive"},
+    {event::sender_lost, level::warn, "sender_lost"},
     {event::answer_mismatched, level::warn, "answer_mismatched"},
     {event::request_ended, level::info, "request_ended"},
     {event::attempt_refused, level::info, "attempt_refused"},
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -288,7 +288,7 @@
             return;
         }
         m_failed.push_back(&node);
-        on_failed(std::move(result));
+        on_failed(ended, std::move(result));
         return;
     }
     if (is_persistent(result.m_reason) && !node.m_is_self)
@@ -307,7 +307,7 @@
         return;
     }
     m_failed.push_back(&node);
-    on_failed(std::move(result));
+    on_failed(ended, std::move(result));
 }
 
 // A refusal by a node's target_gate does not use the retry budget, since the
@@ -342,14 +342,16 @@
     place_attempt();
 }
 
-void call::on_failed(run_result result)
+void call::on_failed(attempt const& failed, run_result result)
 {
+    auto const now = clock_now();
     log_event(
         event::attempt_failed,
         {{"request", m_options.m_request.m_attempt},
+         {"target", failed.m_node->m_address},
          {"reason", core::to_string(result.m_reason)},
-         {"status", static_cast<std::int64_t>(result.m_status)}});
-    auto const now = clock_now();
+         {"status", static_cast<std::int64_t>(result.m_status)},
+         {"ms", to_milliseconds(now - failed.m_forecast.m_began_at).count()}});
     bool const can_meet_deadline = core::retry::can_answer_in_time(
         best_other_cost(now), m_options.m_usual_work,
         m_options.m_deadline - now);
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -94,7 +94,7 @@
     void send(node_entry_ptr const& node);
     void on_result(std::size_t index, run_result result);
     void on_not_run(run_result result);
-    void on_failed(run_result result);
+    void on_failed(attempt const& failed, run_result result);
     void hedge_if_slow(core::time_point now);
     void finish(run_result result, std::optional<std::size_t> index);
     void retry_placement_or_refuse(core::time_point now);
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -45,6 +45,11 @@
 // requests wait until their deadline.
 constexpr milliseconds idempotent_timeout{300};
 
+std::int64_t to_ms(core::duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
 // What follows the bytes of the body before this position.
 body_end end_at(body_buffer const& body, std::uint64_t position)
 {
@@ -259,7 +264,8 @@
                 event::peer_unreachable,
                 {{"peer", m_options.m_remote.m_address},
                  {"error", connect_error.message()},
-                 {"pending", static_cast<std::int64_t>(m_pending.size())}});
+                 {"pending", static_cast<std::int64_t>(m_pending.size())},
+                 {"sent", static_cast<std::int64_t>(sent_requests())}});
         }
         co_return false;
     }
@@ -318,10 +324,8 @@
         }
         if (m_ping_sent_at && is_silent(now))
         {
-            log_event(
-                event::peer_silent,
-                {{"peer", m_options.m_remote.m_address},
-                 {"pending", static_cast<std::int64_t>(m_pending.size())}});
+            log_silent(now);
+            m_silent_since = now;
             m_stream->close();
             on_closed();
         }
@@ -345,6 +349,41 @@
     return now - *m_ping_sent_at > limit;
 }
 
+std::size_t peer_link::sent_requests() const noexcept
+{
+    auto const count = std::count_if(
+        m_pending.begin(), m_pending.end(),
+        [](auto const& entry)
+        {
+            return entry.second.m_sent;
+        });
+    return static_cast<std::size_t>(count);
+}
+
+void peer_link::log_silent(core::time_point now) const
+{
+    log_event(
+        event::peer_silent,
+        {{"peer", m_options.m_remote.m_address},
+         {"pending", static_cast<std::int64_t>(m_pending.size())},
+         {"sent", static_cast<std::int64_t>(sent_requests())},
+         {"unsent", std::int64_t{m_stream->has_unsent()}},
+         {"quiet_ms", to_ms(now - m_stream->last_received_at())},
+         {"ping_ms", to_ms(now - *m_ping_sent_at)}});
+}
+
+void peer_link::log_responsive(core::time_point now)
+{
+    if (auto const since = std::exchange(m_silent_since, std::nullopt))
+    {
+        log_event(
+            event::peer_responsive,
+            {{"peer", m_options.m_remote.m_address},
+             {"silent_ms", to_ms(now - *since)},
+             {"sent", static_cast<std::int64_t>(sent_requests())}});
+    }
+}
+
 void peer_link::on_message(message&& value)
 {
     if (auto* const result = std::get_if<run_result>(&value))
@@ -372,6 +411,7 @@
 {
     auto const previous = std::exchange(m_incarnation, greeting.m_incarnation);
     m_greeted = true;
+    log_responsive(clock_now());
     if (previous != greeting.m_incarnation)
     {
         fail_lost_requests();
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -103,6 +103,9 @@
     /// Removes the request and passes the result to its handler.
     void complete(std::uint64_t id, run_result result);
     [[nodiscard]] bool is_silent(core::time_point now) const noexcept;
+    [[nodiscard]] std::size_t sent_requests() const noexcept;
+    void log_silent(core::time_point now) const;
+    void log_responsive(core::time_point now);
     void fail_expired(core::time_point now);
     void fail_unsent();
     void send_now(pending_request& request);
@@ -122,6 +125,8 @@
     std::uint64_t m_incarnation = 0;
     /// When the last ping was sent. Reset once bytes have been received since.
     std::optional<core::time_point> m_ping_sent_at;
+    /// When the peer was last found silent. Reset once it answers again.
+    std::optional<core::time_point> m_silent_since;
     std::uint64_t m_requested_after = 0;
     bool m_changes_requested = false;
     /// Whether the hello of the gate has arrived on the current connection.
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <hibiscustide/net/event_log.hpp>
+
 #include "net/clock.hpp"
 #include "net/mesh/codec.hpp"
 #include "net/socket.hpp"
@@ -43,6 +45,7 @@
 {
     std::shared_ptr<frame_stream> m_stream;
     std::uint64_t m_incarnation = 0; ///< Of the sender; 0 before its hello.
+    std::string m_node;              ///< Address of the sender.
 };
 
 peer_server::peer_server(
@@ -141,7 +144,7 @@
             if (it != m_sessions.end() && it->second == closed_session)
             {
                 m_sessions.erase(it);
-                on_closed(closed_session->m_incarnation);
+                on_closed(*closed_session);
             }
         });
     connection->m_stream->send(m_options.m_hello);
@@ -231,6 +234,7 @@
         return;
     }
     sender->m_incarnation = greeting.m_incarnation;
+    sender->m_node = greeting.m_node;
     auto& current = m_sessions[greeting.m_incarnation];
     if (current)
     {
@@ -334,13 +338,17 @@
     state.m_result = std::move(result);
 }
 
-void peer_server::on_closed(std::uint64_t incarnation)
+void peer_server::on_closed(session const& closed_session)
 {
-    m_bodies.fail_all_of(incarnation);
-    asio::co_spawn(m_context, abandon_unresumed(incarnation), asio::detached);
+    m_bodies.fail_all_of(closed_session.m_incarnation);
+    asio::co_spawn(
+        m_context,
+        abandon_unresumed(closed_session.m_incarnation, closed_session.m_node),
+        asio::detached);
 }
 
-awaitable<void> peer_server::abandon_unresumed(std::uint64_t incarnation)
+awaitable<void> peer_server::abandon_unresumed(
+    std::uint64_t incarnation, std::string sender)
 {
     asio::steady_timer timer{m_context, resume_timeout};
     co_await timer.async_wait(no_throw);
@@ -357,6 +365,14 @@
             unresumed.push_back(state.m_ticket);
         }
     }
+    if (!unresumed.empty())
+    {
+        log_event(
+            core::observe::event::sender_lost,
+            {{"sender", sender},
+             {"requests", static_cast<std::int64_t>(unresumed.size())},
+             {"ms", resume_timeout.count()}});
+    }
     for (auto const ticket : unresumed)
     {
         m_gate.abandon(ticket);
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -84,9 +84,10 @@
     void on_resume(session_ptr const& sender, resume_requests const& resume);
     void remove_old_records(core::time_point now);
     void on_result(request_key const& key, run_result&& result);
-    void on_closed(std::uint64_t incarnation);
+    void on_closed(session const& closed_session);
     // Abandons the requests of a sender that has not reconnected in time.
-    awaitable<void> abandon_unresumed(std::uint64_t incarnation);
+    awaitable<void> abandon_unresumed(
+        std::uint64_t incarnation, std::string sender);
 
     asio::io_context& m_context;
     peer_server_options m_options;
