Peer link: silence does not end a request that was sent

Callers saw 502 for repeatable requests that their targets ran afterwards (rule LOST around a SIGTERM), while no process or network path was down.

Cause: on a full link a ping is unanswered for 650 ms and new connections time out. The link then closed the silent connection, lost with it the results that were on the way, and ended each idempotent request after one failed connect, as may-have-run. The closed connection still delivered the request. Class: a health check of an inner hop gave the verdict on a request, although it only measured delay.

Change: a silent connection stays open until the gate's hello has arrived on its replacement; if it responds again, it is used further. A request that was sent ends by its result, by a restarted gate, by a refused connection (no process listens, so its result is lost) or at its deadline. Until then is_lost() lets an idempotent request go to a second gate within the retry budget, as a hedge; the first result counts. A hedge that cannot be placed no longer uses the budget.

Evidence: the new test in peer_link_test failed before (result after one connect timeout, nothing pending, link called responsive) and passes now.

--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -370,44 +370,64 @@
     }
 }
 
-// Sends the request to a second target if the only running attempt is slow.
+// Sends the request to a second target if the only running attempt is slow, or
+// if all running attempts are at gates that are out of reach.
 void call::hedge_if_slow(core::time_point now)
 {
     // A body that follows has one reader, so it can't be sent to two targets.
-    bool const is_possible = !m_finished && !m_options.m_body &&
-                             running_attempts() == 1 && may_retry();
-    if (!is_possible)
+    if (m_finished || m_options.m_body || running_attempts() == 0 ||
+        !may_retry())
     {
         return;
     }
     auto const it = std::find_if(
         m_attempts.begin(), m_attempts.end(),
-        [](attempt const& each)
+        [now](attempt const& each)
         {
-            return !each.m_ended;
+            return !each.m_ended && !each.is_lost(now);
         });
+    bool const all_lost = it == m_attempts.end();
+    if (!all_lost && running_attempts() > 1)
+    {
+        return;
+    }
+    auto const& slow = all_lost ? last_running_attempt() : *it;
     core::retry::hedge_conditions const conditions{
-        .m_run = it->m_forecast,
+        .m_run = slow.m_forecast,
         .m_now = now,
         .m_other_cost = best_other_cost(now),
         .m_usual_work = m_options.m_usual_work,
         .m_objective_left = m_options.m_objective - now,
         .m_deadline_left = m_options.m_deadline - now};
-    if (!core::retry::should_hedge(conditions) ||
-        !m_options.m_retry_budget->try_withdraw(
-            core::retry::retry_cause::may_have_run, now))
+    bool const should_hedge =
+        all_lost ? core::retry::can_answer_in_time(
+                       conditions.m_other_cost, m_options.m_usual_work,
+                       conditions.m_deadline_left)
+                 : core::retry::should_hedge(conditions);
+    if (!should_hedge)
+    {
+        return;
+    }
+    if (!contains(m_failed, slow.m_node.get()))
+    {
+        m_failed.push_back(slow.m_node.get());
+    }
+    // An attempt that cannot be placed must not use the retry budget.
+    bool const is_placeable = !refuse_if_no_room(now) && choose_node(now);
+    if (!is_placeable || !m_options.m_retry_budget->try_withdraw(
+                             core::retry::retry_cause::may_have_run, now))
     {
         return;
     }
     log_event(
         event::attempt_repeated,
         {{"request", m_options.m_request.m_attempt},
-         {"slow_node", it->m_node->m_address},
+         {"slow_node", slow.m_node->m_address},
+         {"lost", std::int64_t{all_lost}},
          {"done", conditions.m_run.progress(now)},
          {"expected_ms", to_milliseconds(conditions.m_run.m_expected).count()},
          {"other_cost", conditions.m_other_cost}});
     m_environment.m_counts.add(counter::retries);
-    m_failed.push_back(it->m_node.get());
     place_attempt();
 }
 
@@ -521,6 +541,22 @@
            m_options.m_body->current_state() == body_buffer::state::failed;
 }
 
+// Whether the gate has been out of reach for some time. Its result may come.
+bool call::attempt::is_lost(core::time_point now) const
+{
+    return m_node->m_link && m_node->m_link->is_lost(now);
+}
+
+call::attempt const& call::last_running_attempt() const
+{
+    return *std::find_if(
+        m_attempts.rbegin(), m_attempts.rend(),
+        [](attempt const& each)
+        {
+            return !each.m_ended;
+        });
+}
+
 std::size_t call::running_attempts() const
 {
     auto const count = std::count_if(
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -88,6 +88,8 @@
         std::uint64_t m_id = 0; ///< Handle for cancelling the attempt.
         core::retry::run_forecast m_forecast;
         bool m_ended = false;
+
+        [[nodiscard]] bool is_lost(core::time_point now) const;
     };
 
     void place_attempt();
@@ -111,6 +113,7 @@
     [[nodiscard]] bool can_send_again() const;
     [[nodiscard]] bool has_body_failed() const;
     [[nodiscard]] std::size_t running_attempts() const;
+    [[nodiscard]] attempt const& last_running_attempt() const;
 
     call_environment m_environment;
     call_options m_options;
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -32,7 +32,8 @@
 // Longer than the round trip of a ping to a working node.
 constexpr milliseconds max_round_trip{100};
 
-// The connection is replaced when a ping is unanswered for this long.
+// The connection is replaced when a ping is unanswered for this long. The hello
+// of the gate must arrive within the same time.
 constexpr milliseconds ping_timeout{650};
 
 // The connection is replaced when nothing could be sent on it for this long.
@@ -41,8 +42,8 @@
 // Largest number of bytes of a body in one message.
 constexpr std::size_t body_piece_bytes = 8'000;
 
-// How long an idempotent request waits for a gate that cannot be reached. Other
-// requests wait until their deadline.
+// How long an idempotent request waits for a gate that cannot be reached before
+// it may be sent to another gate. Other requests wait until their deadline.
 constexpr milliseconds idempotent_timeout{300};
 
 std::int64_t to_ms(core::duration span)
@@ -75,7 +76,8 @@
 peer_link::peer_link(asio::io_context& context, peer_link_options options)
     : m_context{context},
       m_options{std::move(options)},
-      m_monitor_timer{context}
+      m_monitor_timer{context},
+      m_hello_timer{context}
 {
 }
 
@@ -96,15 +98,15 @@
     }
     pending_request added{
         .m_done = std::move(done),
-        .m_reconnect_deadline = now + std::min(timeout, left),
+        .m_send_deadline = now + std::min(timeout, left),
         .m_message = std::move(request),
         .m_body = std::move(body)};
     auto const it = m_pending.emplace(id, std::move(added)).first;
-    if (m_stream && m_greeted)
+    if (is_usable())
     {
         send_now(it->second);
     }
-    else if (!m_stream)
+    else
     {
         start_connecting();
     }
@@ -130,7 +132,7 @@
 
 void peer_link::request_changes(std::uint64_t after)
 {
-    if (m_stream)
+    if (is_usable())
     {
         m_stream->send(changes_request{.m_after = after});
         return;
@@ -143,11 +145,7 @@
 void peer_link::close()
 {
     m_closed = true;
-    if (m_stream)
-    {
-        m_stream->close();
-        m_stream = nullptr;
-    }
+    drop_connection();
     m_monitor_timer.cancel();
     auto const pending = std::exchange(m_pending, {});
     for (auto const& [id, request] : pending)
@@ -171,7 +169,20 @@
     bool const is_ping_pending = m_ping_sent_at && m_stream &&
                                  !m_stream->has_unsent() &&
                                  m_stream->last_received_at() < *m_ping_sent_at;
-    return !is_ping_pending || now - *m_ping_sent_at < max_round_trip;
+    bool const is_late =
+        is_ping_pending && now - *m_ping_sent_at >= max_round_trip;
+    return !m_lost_since && !is_late;
+}
+
+bool peer_link::is_lost(core::time_point now) const noexcept
+{
+    return m_lost_since && now - *m_lost_since >= idempotent_timeout;
+}
+
+// Whether requests can be sent now.
+bool peer_link::is_usable() const noexcept
+{
+    return m_stream && !m_lost_since;
 }
 
 void peer_link::start_connecting()
@@ -213,14 +224,12 @@
     bool retry = true;
     while (retry && !m_closed)
     {
-        bool const connected = co_await connect();
-        if (connected || m_closed)
+        auto const result = co_await connect();
+        if (result == connect_result::usable || m_closed)
         {
             break;
         }
-        m_changes_requested = false;
-        fail_unsent();
-        fail_expired(clock_now());
+        on_connect_failed(result);
         retry = !m_pending.empty();
         if (retry)
         {
@@ -229,13 +238,13 @@
         }
     }
     m_connecting = false;
-    if (!m_stream && !m_pending.empty())
+    if (!is_usable() && !m_pending.empty())
     {
         start_connecting();
     }
 }
 
-awaitable<bool> peer_link::connect()
+awaitable<peer_link::connect_result> peer_link::connect()
 {
     beast::tcp_stream stream{m_context};
     beast::error_code error;
@@ -248,59 +257,94 @@
         set_bind_no_port(stream.socket().native_handle());
         stream.socket().bind({local, 0}, error);
     }
-    if (error)
+    if (!error)
     {
-        log_event(event::peer_unreachable, {{"error", error.message()}});
-        co_return false;
+        stream.expires_after(connect_timeout);
+        auto const [connect_error] =
+            co_await stream.async_connect(remote, no_throw);
+        error = connect_error;
     }
-    stream.expires_after(connect_timeout);
-    auto const [connect_error] =
-        co_await stream.async_connect(remote, no_throw);
-    if (connect_error || m_closed)
+    if (m_closed || is_usable())
     {
-        if (!m_closed)
-        {
-            log_event(
-                event::peer_unreachable,
-                {{"peer", m_options.m_remote.m_address},
-                 {"error", connect_error.message()},
-                 {"pending", static_cast<std::int64_t>(m_pending.size())},
-                 {"sent", static_cast<std::int64_t>(sent_requests())}});
-        }
-        co_return false;
+        co_return connect_result::usable;
+    }
+    if (error)
+    {
+        log_unreachable(error.message());
+        co_return error == asio::error::connection_refused
+            ? connect_result::refused
+            : connect_result::out_of_reach;
     }
-    m_stream = std::make_shared<frame_stream>(stream.release_socket());
+    open_stream(stream.release_socket());
+    co_return co_await wait_for_hello();
+}
+
+void peer_link::open_stream(asio::ip::tcp::socket socket)
+{
+    m_opening = std::make_shared<frame_stream>(std::move(socket));
     auto const weak = weak_from_this();
-    m_stream->start(
-        [weak](message&& value)
+    std::weak_ptr<frame_stream> const opened = m_opening;
+    m_opening->start(
+        [weak, opened](message&& value)
         {
             if (auto const self = weak.lock())
             {
-                self->on_message(std::move(value));
+                self->on_message(opened.lock(), std::move(value));
             }
         },
-        [weak]
+        [weak, opened]
         {
             if (auto const self = weak.lock())
             {
-                self->on_closed();
+                self->on_closed(opened.lock());
             }
         });
-    on_connected();
-    co_return true;
-}
-
-void peer_link::on_connected()
-{
-    m_ping_sent_at.reset();
-    m_greeted = false;
     auto greeting = m_options.m_hello;
     greeting.m_connection = ++m_connection_number;
-    m_stream->send(greeting);
+    m_opening->send(greeting);
     if (std::exchange(m_changes_requested, false))
     {
-        m_stream->send(changes_request{.m_after = m_requested_after});
+        m_opening->send(changes_request{.m_after = m_requested_after});
+    }
+}
+
+awaitable<peer_link::connect_result> peer_link::wait_for_hello()
+{
+    m_hello_timer.expires_after(ping_timeout);
+    co_await m_hello_timer.async_wait(no_throw);
+    if (is_usable())
+    {
+        co_return connect_result::usable;
+    }
+    if (!m_opening)
+    {
+        co_return connect_result::closed;
+    }
+    m_opening->close();
+    m_opening = nullptr;
+    log_unreachable("no hello");
+    co_return connect_result::out_of_reach;
+}
+
+// A request that was sent stays pending while the gate is out of reach, since
+// the gate may be running it. If no process listens, its result is lost.
+void peer_link::on_connect_failed(connect_result why)
+{
+    if (why == connect_result::closed)
+    {
+        return;
+    }
+    m_changes_requested = false;
+    if (why == connect_result::refused)
+    {
+        if (m_stream)
+        {
+            m_stream->close();
+            m_stream = nullptr;
+        }
+        fail_lost_requests(core::reason::peer_unreachable);
     }
+    refuse_unsent();
 }
 
 awaitable<void> peer_link::monitor_loop()
@@ -310,34 +354,63 @@
         m_monitor_timer.expires_after(monitor_interval);
         co_await m_monitor_timer.async_wait(no_throw);
         auto const now = clock_now();
-        if (!m_greeted)
-        {
-            fail_expired(now);
-        }
-        if (!m_stream)
+        if (!is_usable())
         {
-            continue;
+            refuse_expired(now);
         }
-        if (m_ping_sent_at && m_stream->last_received_at() >= *m_ping_sent_at)
+        if (m_stream)
         {
-            m_ping_sent_at.reset();
+            check_connection(now);
         }
-        if (m_ping_sent_at && is_silent(now))
+    }
+    m_monitoring = false;
+    // Nothing is left to monitor, so the next request opens a connection.
+    if (m_lost_since)
+    {
+        drop_connection();
+    }
+}
+
+// Detects that the connection has become silent, or that it responds again.
+void peer_link::check_connection(core::time_point now)
+{
+    if (m_ping_sent_at && m_stream->last_received_at() >= *m_ping_sent_at)
+    {
+        m_ping_sent_at.reset();
+        if (m_lost_since)
         {
-            log_silent(now);
-            m_silent_since = now;
-            m_stream->close();
-            on_closed();
+            log_responsive(now);
+            m_lost_since.reset();
+            send_unsent_requests();
         }
-        else if (
-            !m_ping_sent_at &&
-            now - m_stream->last_received_at() > idle_before_ping)
+    }
+    if (m_ping_sent_at && !m_lost_since && is_silent(now))
+    {
+        log_silent(now);
+        m_lost_since = now;
+        start_connecting();
+    }
+    else if (
+        !m_ping_sent_at &&
+        now - m_stream->last_received_at() > idle_before_ping)
+    {
+        m_stream->send(ping{});
+        m_ping_sent_at = now;
+    }
+}
+
+void peer_link::drop_connection()
+{
+    m_lost_since.reset();
+    m_ping_sent_at.reset();
+    for (auto* const stream : {&m_stream, &m_opening})
+    {
+        if (auto const open_stream = std::exchange(*stream, nullptr))
         {
-            m_stream->send(ping{});
-            m_ping_sent_at = now;
+            open_stream->close();
         }
     }
-    m_monitoring = false;
+    m_hello_timer.cancel();
 }
 
 // Whether the gate has not answered the ping in time. A ping that still waits
@@ -349,6 +422,16 @@
     return now - *m_ping_sent_at > limit;
 }
 
+void peer_link::log_unreachable(std::string const& error) const
+{
+    log_event(
+        event::peer_unreachable,
+        {{"peer", m_options.m_remote.m_address},
+         {"error", error},
+         {"pending", static_cast<std::int64_t>(m_pending.size())},
+         {"sent", static_cast<std::int64_t>(sent_requests())}});
+}
+
 std::size_t peer_link::sent_requests() const noexcept
 {
     auto const count = std::count_if(
@@ -372,19 +455,16 @@
          {"ping_ms", to_ms(now - *m_ping_sent_at)}});
 }
 
-void peer_link::log_responsive(core::time_point now)
+void peer_link::log_responsive(core::time_point now) const
 {
-    if (auto const since = std::exchange(m_silent_since, std::nullopt))
-    {
-        log_event(
-            event::peer_responsive,
-            {{"peer", m_options.m_remote.m_address},
-             {"silent_ms", to_ms(now - *since)},
-             {"sent", static_cast<std::int64_t>(sent_requests())}});
-    }
+    log_event(
+        event::peer_responsive,
+        {{"peer", m_options.m_remote.m_address},
+         {"lost_ms", to_ms(now - *m_lost_since)},
+         {"sent", static_cast<std::int64_t>(sent_requests())}});
 }
 
-void peer_link::on_message(message&& value)
+void peer_link::on_message(stream_ptr const& stream, message&& value)
 {
     if (auto* const result = std::get_if<run_result>(&value))
     {
@@ -393,7 +473,10 @@
     }
     else if (auto const* const greeting = std::get_if<hello>(&value))
     {
-        on_hello(*greeting);
+        if (stream == m_opening)
+        {
+            on_hello(*greeting);
+        }
     }
     else if (auto const* const grant = std::get_if<body_grant>(&value))
     {
@@ -407,14 +490,29 @@
     }
 }
 
+// The opened connection replaces the present one, whose bytes may be lost.
 void peer_link::on_hello(hello const& greeting)
 {
+    auto const replaced = std::exchange(m_stream, std::move(m_opening));
+    m_opening = nullptr;
+    m_hello_timer.cancel();
+    if (replaced)
+    {
+        replaced->close();
+        finish_sent_bodies();
+    }
+    if (m_lost_since)
+    {
+        log_responsive(clock_now());
+    }
+    m_lost_since.reset();
+    m_ping_sent_at.reset();
     auto const previous = std::exchange(m_incarnation, greeting.m_incarnation);
-    m_greeted = true;
-    log_responsive(clock_now());
     if (previous != greeting.m_incarnation)
     {
-        fail_lost_requests();
+        // A gate that has restarted has no record of the requests that were
+        // sent to its predecessor, so they may have run.
+        fail_lost_requests(core::reason::gate_restarted);
     }
     if (m_stream)
     {
@@ -423,9 +521,7 @@
     }
 }
 
-// A gate that has restarted has no record of the requests that were sent to its
-// predecessor, so they may have run.
-void peer_link::fail_lost_requests()
+void peer_link::fail_lost_requests(core::reason why)
 {
     std::vector<std::uint64_t> lost;
     for (auto const& [id, request] : m_pending)
@@ -437,7 +533,7 @@
     }
     for (auto const id : lost)
     {
-        complete(id, failed_result(true, core::reason::gate_restarted));
+        complete(id, failed_result(true, why));
     }
 }
 
@@ -469,27 +565,41 @@
     }
 }
 
-void peer_link::on_closed()
+void peer_link::on_closed(stream_ptr const& stream)
 {
+    if (stream == m_opening)
+    {
+        m_opening = nullptr;
+        m_hello_timer.cancel();
+        return;
+    }
+    if (stream != m_stream)
+    {
+        return;
+    }
     m_stream = nullptr;
-    m_greeted = false;
+    m_ping_sent_at.reset();
     if (m_pending.empty() || m_closed)
     {
+        m_lost_since.reset();
         return;
     }
-    auto const now = clock_now();
+    m_lost_since = m_lost_since.value_or(clock_now());
+    finish_sent_bodies();
+    start_connecting();
+}
+
+// Pieces of a body may have been lost with the connection, so the gate ends the
+// request.
+void peer_link::finish_sent_bodies()
+{
     for (auto& [id, request] : m_pending)
     {
-        request.m_reconnect_deadline =
-            std::max<core::time_point>(request.m_reconnect_deadline, now);
-        // Pieces of the body may have been lost with the connection, so the
-        // gate ends the request.
         if (request.m_sent)
         {
             finish_body(request);
         }
     }
-    start_connecting();
 }
 
 void peer_link::complete(std::uint64_t id, run_result result)
@@ -537,7 +647,7 @@
 {
     auto const it = m_pending.find(id);
     bool const can_send =
-        it != m_pending.end() && it->second.m_body && m_stream && m_greeted;
+        it != m_pending.end() && it->second.m_body && m_stream;
     if (!can_send)
     {
         return;
@@ -577,28 +687,24 @@
     }
 }
 
-// Ends the requests whose deadline for reaching the gate has passed. If a
-// connection exists, a request that was sent is resumed on it and has no such
-// deadline.
-void peer_link::fail_expired(core::time_point now)
+// Refuses the requests that could not be sent in time.
+void peer_link::refuse_expired(core::time_point now)
 {
     std::vector<std::uint64_t> expired;
     for (auto const& [id, request] : m_pending)
     {
-        bool const is_waiting = !m_stream || !request.m_sent;
-        if (is_waiting && now >= request.m_reconnect_deadline)
+        if (!request.m_sent && now >= request.m_send_deadline)
         {
             expired.push_back(id);
         }
     }
     for (auto const id : expired)
     {
-        bool const sent = m_pending.at(id).m_sent;
-        complete(id, failed_result(sent, core::reason::peer_unreachable));
+        complete(id, failed_result(false, core::reason::peer_unreachable));
     }
 }
 
-void peer_link::fail_unsent()
+void peer_link::refuse_unsent()
 {
     std::vector<std::uint64_t> unsent;
     for (auto const& [id, request] : m_pending)
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,15 +36,16 @@
 /// them at its target, and receives their results over a connection that is
 /// opened on first use.
 ///
-/// Requests are sent on a connection only after the hello of the gate has
-/// arrived on it, since its incarnation shows later whether the gate has
-/// restarted and lost them.
+/// A connection is used only after the hello of the gate has arrived on it,
+/// since its incarnation shows later whether the gate has restarted and lost
+/// its requests.
 ///
 /// A connection that breaks or stops responding is replaced, and the outcomes
-/// of the requests that were sent on it are requested from the gate. So a lost
-/// connection alone leaves no outcome unknown. The outcome of a request is
-/// unknown only if the gate cannot be reached or has restarted. Runs on one
-/// io_context.
+/// of the requests that were sent on it are requested from the gate. A
+/// connection that is only silent stays open until its replacement can be used,
+/// since it may respond again. So silence alone never ends a request that was
+/// sent. Its outcome is unknown only if the gate has ended or restarted; see
+/// is_lost() for retries until then. Runs on one io_context.
 class peer_link : public std::enable_shared_from_this<peer_link>
 {
 public:
@@ -75,12 +77,16 @@
     /// trip takes. The time for which it waits in this node does not count.
     [[nodiscard]] bool is_responsive(core::time_point now) const noexcept;
 
+    /// Whether the gate has been out of reach for so long that idempotent
+    /// requests which were sent to it should also be sent to another gate.
+    [[nodiscard]] bool is_lost(core::time_point now) const noexcept;
+
 private:
     struct pending_request
     {
         done_handler m_done;
-        /// When the request fails if the gate cannot be reached.
-        core::time_point m_reconnect_deadline;
+        /// When the request is refused if it could not be sent.
+        core::time_point m_send_deadline;
         message m_message; ///< Kept until it is sent.
         bool m_sent = false;
         body_buffer_ptr m_body;            ///< Null if the message contains it.
@@ -88,26 +94,44 @@
         std::uint64_t m_body_limit = 0;    ///< Number of bytes that may be.
     };
 
+    using stream_ptr = std::shared_ptr<frame_stream>;
+
+    /// The result of an attempt to open a connection.
+    enum class connect_result : std::uint8_t
+    {
+        usable,       ///< A connection can be used; perhaps an earlier one.
+        closed,       ///< The gate closed the connection before its hello.
+        out_of_reach, ///< The gate does not answer.
+        refused,      ///< No process listens at the gate's address.
+    };
+
     awaitable<void> connect_loop();
-    awaitable<bool> connect();
+    awaitable<connect_result> connect();
+    awaitable<connect_result> wait_for_hello();
     awaitable<void> monitor_loop();
     void start_connecting();
     void start_monitoring();
-    void on_connected();
-    void on_message(message&& value);
+    void open_stream(asio::ip::tcp::socket socket);
+    void on_message(stream_ptr const& stream, message&& value);
     void on_hello(hello const& greeting);
-    void fail_lost_requests();
+    void on_closed(stream_ptr const& stream);
+    void on_connect_failed(connect_result why);
+    void check_connection(core::time_point now);
+    void drop_connection();
+    void fail_lost_requests(core::reason why);
     void resume_sent_requests();
     void send_unsent_requests();
-    void on_closed();
+    void finish_sent_bodies();
     /// Removes the request and passes the result to its handler.
     void complete(std::uint64_t id, run_result result);
+    [[nodiscard]] bool is_usable() const noexcept;
     [[nodiscard]] bool is_silent(core::time_point now) const noexcept;
     [[nodiscard]] std::size_t sent_requests() const noexcept;
+    void log_unreachable(std::string const& error) const;
     void log_silent(core::time_point now) const;
-    void log_responsive(core::time_point now);
-    void fail_expired(core::time_point now);
-    void fail_unsent();
+    void log_responsive(core::time_point now) const;
+    void refuse_expired(core::time_point now);
+    void refuse_unsent();
     void send_now(pending_request& request);
     void on_grant(body_grant const& grant);
     void send_granted_pieces(std::uint64_t id);
@@ -115,8 +139,10 @@
 
     asio::io_context& m_context;
     peer_link_options m_options;
-    std::shared_ptr<frame_stream> m_stream;
+    stream_ptr m_stream;  ///< The hello of the gate has arrived on it.
+    stream_ptr m_opening; ///< Waits for the hello of the gate.
     asio::steady_timer m_monitor_timer;
+    asio::steady_timer m_hello_timer; ///< Cancelled when m_opening changes.
     std::map<std::uint64_t, pending_request> m_pending;
     std::uint64_t m_next_id = 1;
     std::uint64_t m_connection_number = 0; ///< Of the newest connection.
@@ -125,12 +151,11 @@
     std::uint64_t m_incarnation = 0;
     /// When the last ping was sent. Reset once bytes have been received since.
     std::optional<core::time_point> m_ping_sent_at;
-    /// When the peer was last found silent. Reset once it answers again.
-    std::optional<core::time_point> m_silent_since;
+    /// Since when the connection has been silent, or broken with requests
+    /// pending.
+    std::optional<core::time_point> m_lost_since;
     std::uint64_t m_requested_after = 0;
     bool m_changes_requested = false;
-    /// Whether the hello of the gate has arrived on the current connection.
-    bool m_greeted = false;
     bool m_connecting = false;
     bool m_monitoring = false;
     bool m_closed = false;
--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -3,6 +3,8 @@
 #include <optional>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -27,7 +29,8 @@
 {
 public:
     explicit fake_gate(asio::io_context& context)
-        : m_acceptor{context}
+        : m_acceptor{context},
+          m_queued{context}
     {
         REQUIRE_FALSE(hibiscustide::net::open_listener(
             m_acceptor, {.m_address = address, .m_port = 0}, false));
@@ -59,6 +62,16 @@
         m_unresponsive = unresponsive;
     }
 
+    // Sends nothing on the present connection, and lets further connections
+    // time out, as a full link does: its queue of connections is filled.
+    void set_unreachable()
+    {
+        m_unresponsive = true;
+        m_acceptor.cancel();
+        REQUIRE(::listen(m_acceptor.native_handle(), 0) == 0);
+        m_queued.connect(m_acceptor.local_endpoint());
+    }
+
     void answer(std::uint64_t id)
     {
         m_stream->send(mesh::run_result{
@@ -131,6 +144,7 @@
 
     asio::ip::tcp::acceptor m_acceptor;
     std::shared_ptr<mesh::frame_stream> m_stream;
+    asio::ip::tcp::socket m_queued;
     std::uint64_t m_incarnation = 1;
     bool m_unresponsive = false;
 };
@@ -272,6 +286,26 @@
     CHECK(test.m_results.front().m_reason == core::reason::peer_unreachable);
 }
 
+// A full link delays pings and new connections by more than their timeouts,
+// while the gate runs the request.
+TEST_CASE("a repeatable request behind a full link is answered and not ended "
+          "as possibly run")
+{
+    fixture test;
+    auto const id = test.run(true);
+    test.wait(50ms);
+    REQUIRE(test.m_gate.m_requests == std::vector{id});
+    test.m_gate.set_unreachable();
+    test.wait(2'500ms);
+    CHECK(test.m_results.empty());
+    CHECK_FALSE(test.m_link->is_responsive(std::chrono::steady_clock::now()));
+    REQUIRE_FALSE(test.m_link->pending() == 0);
+    test.m_gate.answer(id);
+    test.wait(50ms);
+    REQUIRE(test.m_results.size() == 1);
+    CHECK(test.m_results.front().m_outcome == mesh::outcome::answered);
+}
+
 TEST_CASE("a connection that was idle is not treated as unresponsive")
 {
     fixture test;
