Gate: a lost connection alone does not end running work, and unresumed work is cancelled

Callers got 502, or waited for a second run, although the first run of their request went on: 400 ms after the connection of an ingress had ended, its gate aborted all running idempotent requests, while the ingress was still connecting over a full link and would have asked for the results. On the other hand a request whose caller left while the connection was lost was never cancelled, and its target worked for no one.

Change: queued requests are still given back after 400 ms (not run, so the ingress places them elsewhere); running ones are aborted only after 2 s without a newer connection of the sender. The list of resumed requests that opens a newer connection is complete, so the gate cancels what is not in it; the list is sent before the requests that follow it, whatever its length.

--- a/src/include/hibiscustide/core/admission/sender_table.hpp
+++ b/src/include/hibiscustide/core/admission/sender_table.hpp
@@ -38,6 +38,11 @@
     [[nodiscard]] bool accept_connection(
         std::uint64_t incarnation, std::uint64_t connection, time_point now);
 
+    /// Whether the sender has opened a connection after the one with this
+    /// number.
+    [[nodiscard]] bool has_reconnected(
+        std::uint64_t incarnation, std::uint64_t connection) const noexcept;
+
     /// Records that the record of this request was removed. Senders number
     /// their requests in ascending order.
     void on_record_removed(
--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -115,7 +115,7 @@
     /// one that replaces it.
     peer_responsive = 512,
     /// A sender of requests did not reconnect in time after its connection had
-    /// ended, so the gate gave up requests of it.
+    /// ended, so the gate aborted its running idempotent requests.
     sender_lost = 513,
     /// The target's answer belongs to another attempt and was not used.
     answer_mismatched = 600,
--- a/src/libhibiscustide/core/admission/sender_table.cpp
+++ b/src/libhibiscustide/core/admission/sender_table.cpp
@@ -18,6 +18,13 @@
     return true;
 }
 
+bool sender_table::has_reconnected(
+    std::uint64_t incarnation, std::uint64_t connection) const noexcept
+{
+    auto const it = m_senders.find(incarnation);
+    return it != m_senders.end() && it->second.m_newest_connection > connection;
+}
+
 void sender_table::on_record_removed(
     std::uint64_t incarnation, std::uint64_t request, time_point now)
 {
--- a/src/libhibiscustide/core/admission/sender_table_test.cpp
+++ b/src/libhibiscustide/core/admission/sender_table_test.cpp
@@ -48,3 +48,15 @@
     CHECK(table.size() == 1);
     CHECK(table.may_have_been_removed(sender, 1) == false);
 }
+
+TEST_CASE("a sender has reconnected once a connection with a higher number has "
+          "been accepted")
+{
+    sender_table table;
+    CHECK_FALSE(table.has_reconnected(sender, 1));
+    CHECK(table.accept_connection(sender, 1, start));
+    CHECK_FALSE(table.has_reconnected(sender, 1));
+    CHECK(table.accept_connection(sender, 2, start));
+    CHECK(table.has_reconnected(sender, 1));
+    CHECK_FALSE(table.has_reconnected(sender, 2));
+}
--- a/src/libhibiscustide/net/mesh/frame_stream.cpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -59,7 +59,10 @@
     auto const bytes = encode_message(value);
     bool const is_urgent = bytes.size() <= max_urgent_bytes &&
                            !std::holds_alternative<body_piece>(value);
-    queue(bytes, is_urgent || std::holds_alternative<run_request>(value));
+    // A list of resumed requests must arrive before the requests that follow.
+    bool const is_ordered = std::holds_alternative<run_request>(value) ||
+                            std::holds_alternative<resume_requests>(value);
+    queue(bytes, is_urgent || is_ordered);
 }
 
 void frame_stream::send_encoded(std::string_view bytes)
--- a/src/libhibiscustide/net/mesh/frame_stream.hpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.hpp
@@ -43,8 +43,8 @@
     void start(message_handler on_message, closed_handler on_closed);
 
     /// Queues a message. Drops the message if the stream is closed. Requests,
-    /// and messages of up to `max_urgent_bytes` except pieces of bodies, are
-    /// sent before all others.
+    /// lists of resumed requests, and messages of up to `max_urgent_bytes`
+    /// except pieces of bodies, are sent before all others.
     void send(message const& value);
 
     /// Queues an encoded message that is not a piece of a body; otherwise like
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -128,7 +128,9 @@
 };
 
 /// Asks for the results of requests that were sent over a lost connection. The
-/// receiver answers not_run for a request that it has not received.
+/// receiver answers not_run for a request that it has not received, and cancels
+/// all other requests that it has received from the sender: their callers have
+/// left while the sender could not cancel them.
 struct resume_requests
 {
     std::vector<std::uint64_t> m_ids;
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -538,6 +538,7 @@
 }
 
 // Asks for the outcomes of the requests that were sent on earlier connections.
+// The gate cancels all others, so the list is sent even if it is empty.
 void peer_link::resume_sent_requests()
 {
     resume_requests resume;
@@ -548,7 +549,8 @@
             resume.m_ids.push_back(id);
         }
     }
-    if (!resume.m_ids.empty())
+    bool const is_first_connection = m_connection_number == 1;
+    if (!is_first_connection)
     {
         m_stream->send(resume);
     }
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "net/mesh/peer_server.hpp"
 
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -22,9 +23,13 @@
 
 constexpr milliseconds accept_retry_delay{50};
 
-// How long a sender whose connection was lost has to reconnect. After that, its
-// queued requests are removed and its running idempotent requests are aborted.
-constexpr milliseconds resume_timeout{400};
+// How long the queued requests of a sender wait for it to reconnect. After that
+// they are refused, so that the sender can place them elsewhere.
+constexpr milliseconds queued_resume_timeout{400};
+
+// How long the running idempotent requests of a sender wait for it to reconnect
+// before they are aborted. On a full link, several tries to connect time out.
+constexpr milliseconds running_resume_timeout{2'000};
 
 // How long a result is kept for a sender that reconnects. After that, the
 // request is reported as possibly run.
@@ -45,7 +50,8 @@
 {
     std::shared_ptr<frame_stream> m_stream;
     std::uint64_t m_incarnation = 0; ///< Of the sender; 0 before its hello.
-    std::string m_node;              ///< Address of the sender.
+    std::uint64_t m_number = 0; ///< Of the sender's connections to this node.
+    std::string m_node;         ///< Address of the sender.
 };
 
 peer_server::peer_server(
@@ -144,7 +150,7 @@
             if (it != m_sessions.end() && it->second == closed_session)
             {
                 m_sessions.erase(it);
-                on_closed(*closed_session);
+                on_closed(closed_session);
             }
         });
     connection->m_stream->send(m_options.m_hello);
@@ -177,7 +183,8 @@
     }
     else if (auto const* const cancelled = std::get_if<cancel_request>(&value))
     {
-        on_cancel(sender, *cancelled);
+        on_cancel(
+            {.m_incarnation = sender->m_incarnation, .m_id = cancelled->m_id});
     }
     else if (std::holds_alternative<ping>(value))
     {
@@ -234,6 +241,7 @@
         return;
     }
     sender->m_incarnation = greeting.m_incarnation;
+    sender->m_number = greeting.m_connection;
     sender->m_node = greeting.m_node;
     auto& current = m_sessions[greeting.m_incarnation];
     if (current)
@@ -265,11 +273,8 @@
     m_bodies.grant();
 }
 
-void peer_server::on_cancel(
-    session_ptr const& sender, cancel_request const& cancelled)
+void peer_server::on_cancel(request_key const& key)
 {
-    request_key const key{
-        .m_incarnation = sender->m_incarnation, .m_id = cancelled.m_id};
     auto const it = m_requests.find(key);
     if (it == m_requests.end() || it->second.m_ended)
     {
@@ -294,6 +299,7 @@
 void peer_server::on_resume(
     session_ptr const& sender, resume_requests const& resume)
 {
+    cancel_unlisted(sender->m_incarnation, resume);
     for (auto const id : resume.m_ids)
     {
         auto const it = m_requests.find(
@@ -338,44 +344,80 @@
     state.m_result = std::move(result);
 }
 
-void peer_server::on_closed(session const& closed_session)
+void peer_server::on_closed(session_ptr const& closed_session)
 {
-    m_bodies.fail_all_of(closed_session.m_incarnation);
-    asio::co_spawn(
-        m_context,
-        abandon_unresumed(closed_session.m_incarnation, closed_session.m_node),
-        asio::detached);
+    m_bodies.fail_all_of(closed_session->m_incarnation);
+    asio::co_spawn(m_context, await_reconnect(closed_session), asio::detached);
 }
 
-awaitable<void> peer_server::abandon_unresumed(
-    std::uint64_t incarnation, std::string sender)
+awaitable<void> peer_server::await_reconnect(session_ptr closed_session)
 {
-    asio::steady_timer timer{m_context, resume_timeout};
+    auto const incarnation = closed_session->m_incarnation;
+    asio::steady_timer timer{m_context, queued_resume_timeout};
+    co_await timer.async_wait(no_throw);
+    if (m_senders.has_reconnected(incarnation, closed_session->m_number))
+    {
+        co_return;
+    }
+    for (auto const ticket : active_tickets(incarnation))
+    {
+        m_gate.abandon_queued(ticket);
+    }
+    timer.expires_after(running_resume_timeout - queued_resume_timeout);
     co_await timer.async_wait(no_throw);
-    if (m_sessions.contains(incarnation))
+    auto const running = active_tickets(incarnation);
+    if (m_senders.has_reconnected(incarnation, closed_session->m_number) ||
+        running.empty())
     {
         co_return;
     }
-    std::vector<target_gate::ticket> unresumed;
-    for (auto const& [key, state] : m_requests)
+    log_event(
+        core::observe::event::sender_lost,
+        {{"sender", closed_session->m_node},
+         {"requests", static_cast<std::int64_t>(running.size())},
+         {"ms", running_resume_timeout.count()}});
+    for (auto const ticket : running)
+    {
+        m_gate.abandon(ticket);
+    }
+}
+
+// The requests of the sender that have not ended.
+std::vector<target_gate::ticket> peer_server::active_tickets(
+    std::uint64_t incarnation) const
+{
+    std::vector<target_gate::ticket> active;
+    auto it = m_requests.lower_bound({.m_incarnation = incarnation});
+    for (; it != m_requests.end() && it->first.m_incarnation == incarnation;
+         ++it)
     {
-        bool const is_from_sender = key.m_incarnation == incarnation;
-        if (is_from_sender && !state.m_ended)
+        if (!it->second.m_ended)
         {
-            unresumed.push_back(state.m_ticket);
+            active.push_back(it->second.m_ticket);
         }
     }
-    if (!unresumed.empty())
+    return active;
+}
+
+// Cancels the requests whose results the sender no longer needs.
+void peer_server::cancel_unlisted(
+    std::uint64_t incarnation, resume_requests const& resume)
+{
+    std::vector<request_key> unlisted;
+    std::set<std::uint64_t> const listed{
+        resume.m_ids.begin(), resume.m_ids.end()};
+    auto it = m_requests.lower_bound({.m_incarnation = incarnation});
+    for (; it != m_requests.end() && it->first.m_incarnation == incarnation;
+         ++it)
     {
-        log_event(
-            core::observe::event::sender_lost,
-            {{"sender", sender},
-             {"requests", static_cast<std::int64_t>(unresumed.size())},
-             {"ms", resume_timeout.count()}});
+        if (!it->second.m_ended && !listed.contains(it->first.m_id))
+        {
+            unlisted.push_back(it->first);
+        }
     }
-    for (auto const ticket : unresumed)
+    for (auto const& key : unlisted)
     {
-        m_gate.abandon(ticket);
+        on_cancel(key);
     }
 }
 
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -75,19 +76,22 @@
     void on_message(session_ptr const& sender, message&& value);
     void on_hello(session_ptr const& sender, hello const& greeting);
     void on_run(session_ptr const& sender, run_request&& request);
-    void on_cancel(session_ptr const& sender, cancel_request const& cancelled);
+    void on_cancel(request_key const& key);
     void on_changes_request(
         session_ptr const& sender, changes_request const& requested);
     void send_changes(
         frame_stream& stream, core::directory::item_changes const& changes);
     void send_grant(request_key const& key, std::uint64_t limit);
     void on_resume(session_ptr const& sender, resume_requests const& resume);
+    void cancel_unlisted(
+        std::uint64_t incarnation, resume_requests const& resume);
     void remove_old_records(core::time_point now);
     void on_result(request_key const& key, run_result&& result);
-    void on_closed(session const& closed_session);
-    // Abandons the requests of a sender that has not reconnected in time.
-    awaitable<void> abandon_unresumed(
-        std::uint64_t incarnation, std::string sender);
+    void on_closed(session_ptr const& closed_session);
+    /// Gives up requests of a sender that does not reconnect in time.
+    awaitable<void> await_reconnect(session_ptr closed_session);
+    [[nodiscard]] std::vector<target_gate::ticket> active_tickets(
+        std::uint64_t incarnation) const;
 
     asio::io_context& m_context;
     peer_server_options m_options;
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -214,14 +214,20 @@
     {
         return;
     }
-    auto const active = it->second;
-    if (m_queue.remove(which))
+    if (it->second->m_running && it->second->can_be_aborted())
     {
-        finish(active, make_refusal(core::reason::caller_left));
+        it->second->m_scope.cancel();
+        return;
     }
-    else if (active->can_be_aborted())
+    abandon_queued(which);
+}
+
+void target_gate::abandon_queued(ticket which)
+{
+    auto const it = m_requests.find(which);
+    if (it != m_requests.end() && m_queue.remove(which))
     {
-        active->m_scope.cancel();
+        finish(it->second, make_refusal(core::reason::caller_left));
     }
 }
 
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -91,6 +91,9 @@
     /// `done`, so that the sender can ask for the result later.
     void abandon(ticket which);
 
+    /// Like `abandon`, but only if the request waits in the queue.
+    void abandon_queued(ticket which);
+
     void set_directory(core::directory::directory_ptr const& current);
 
     /// Sets the share of the slots that the gates of the service's other
