Connection pool: a refused request does not use the same connection again

Callers saw 503 for requests that a target was running, and requests that must not repeat ran twice, if a target sent a refusal once more on a kept connection.

Cause: an ingress sends an attempt with the same id again when every target has refused it. The gate took the most recently used connection, on which the refusal had arrived. A copy of that refusal has the id of the attempt, so it passed for the response to the second sending.

Change: a connection keeps the hashes of the requests that were refused on it and is not used for one of them again; other requests use it as before. A connection with 256 refusals is closed, since a hash must not be dropped while its request may be sent again. If the pool is full and no idle connection can be used, the one that was idle the longest makes room.

The other arrivals of a copy were handled already, and a table of them is now a test: a copy with the id of another request or without an id is skipped, at most twice, after which the connection fails as possibly run; bytes that arrive before the next request is sent close the connection.

--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,6 +41,11 @@
 // closed.
 constexpr int max_skipped_responses = 2;
 
+// Maximum number of refused requests that a connection keeps. The connection is
+// closed when it has that many, since none may be forgotten before the request
+// is no longer sent again.
+constexpr std::size_t max_refused_requests = 256;
+
 // Subtracted from the idle timeout that a server announces, because a request
 // that is sent while the server closes the connection is lost.
 constexpr std::chrono::milliseconds idle_margin{1'000};
@@ -112,8 +118,16 @@
         --*m_open_count;
     }
 
+    [[nodiscard]] bool has_refused(std::uint64_t request_id) const
+    {
+        return std::find(m_refused.begin(), m_refused.end(), request_id) !=
+               m_refused.end();
+    }
+
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    /// Identifiers of the requests that the server has refused.
+    std::vector<std::uint64_t> m_refused;
     core::time_point m_idle_since;
     core::duration m_idle_timeout{};
     // Shared, because an exchange that is aborted at process exit may outlive
@@ -136,7 +150,8 @@
     http_request const& request, core::time_point deadline, cancel_scope* scope,
     core::duration max_idle)
 {
-    auto acquired = co_await acquire(deadline, scope, max_idle);
+    auto const id = id_of(request);
+    auto acquired = co_await acquire(id, deadline, scope, max_idle);
     if (auto const* const failure = std::get_if<exchange_failure>(&acquired))
     {
         co_return *failure;
@@ -161,7 +176,7 @@
     }
     auto& response = std::get<http_response>(read);
     release_if_reusable(
-        std::move(used), response, write->m_done && !write->m_error);
+        std::move(used), id, response, write->m_done && !write->m_error);
     co_return std::move(response);
 }
 
@@ -169,7 +184,8 @@
     http_request header, body_buffer_ptr const& body, core::time_point deadline,
     cancel_scope* scope, core::duration max_idle)
 {
-    auto acquired = co_await acquire(deadline, scope, max_idle);
+    auto const id = id_of(header);
+    auto acquired = co_await acquire(id, deadline, scope, max_idle);
     if (auto const* const failure = std::get_if<exchange_failure>(&acquired))
     {
         co_return *failure;
@@ -196,7 +212,7 @@
             .m_sent = writer.has_sent(), .m_reason = reason_for(*error, scope)};
     }
     auto& response = std::get<http_response>(read);
-    release_if_reusable(std::move(used), response, writer.is_complete());
+    release_if_reusable(std::move(used), id, response, writer.is_complete());
     co_return std::move(response);
 }
 
@@ -224,9 +240,10 @@
 awaitable<std::variant<
     std::unique_ptr<connection_pool::connection>, exchange_failure>>
 connection_pool::acquire(
-    core::time_point deadline, cancel_scope* scope, core::duration max_idle)
+    std::uint64_t request_id, core::time_point deadline, cancel_scope* scope,
+    core::duration max_idle)
 {
-    auto acquired = co_await acquire_unscoped(deadline, max_idle);
+    auto acquired = co_await acquire_unscoped(request_id, deadline, max_idle);
     auto* const used = std::get_if<std::unique_ptr<connection>>(&acquired);
     if (used == nullptr || scope == nullptr)
     {
@@ -249,13 +266,14 @@
 awaitable<std::variant<
     std::unique_ptr<connection_pool::connection>, exchange_failure>>
 connection_pool::acquire_unscoped(
-    core::time_point deadline, core::duration max_idle)
+    std::uint64_t request_id, core::time_point deadline,
+    core::duration max_idle)
 {
-    if (auto idle = acquire_idle(max_idle))
+    if (auto idle = acquire_idle(request_id, max_idle))
     {
         co_return std::move(idle);
     }
-    if (*m_open_count >= m_options.m_max_connections)
+    if (!has_room_for_connection())
     {
         co_return exchange_failure{.m_reason = core::reason::queue_full};
     }
@@ -325,16 +343,28 @@
 }
 
 // Takes the most recently used connection first, so that surplus connections
-// stay idle until they expire.
+// stay idle until they expire. Skips those that have refused the same request:
+// a copy of the refusal would pass for the response, although the server runs
+// the request.
 std::unique_ptr<connection_pool::connection> connection_pool::acquire_idle(
-    core::duration max_idle)
+    std::uint64_t request_id, core::duration max_idle)
 {
     auto const now = std::chrono::steady_clock::now();
     close_expired(now);
-    while (!m_idle.empty() && now - m_idle.back()->m_idle_since <= max_idle)
+    for (auto n = m_idle.size(); n > 0; --n)
     {
-        auto candidate = std::move(m_idle.back());
-        m_idle.pop_back();
+        auto const position =
+            m_idle.begin() + static_cast<std::ptrdiff_t>(n - 1);
+        if (now - (*position)->m_idle_since > max_idle)
+        {
+            break;
+        }
+        if ((*position)->has_refused(request_id))
+        {
+            continue;
+        }
+        auto candidate = std::move(*position);
+        m_idle.erase(position);
         if (is_idle(candidate->m_stream.socket().native_handle()))
         {
             return candidate;
@@ -343,15 +373,36 @@
     return nullptr;
 }
 
+// Closes the connection that has been idle the longest if there is no room for
+// another one: no idle connection can be used for the request.
+bool connection_pool::has_room_for_connection()
+{
+    if (*m_open_count >= m_options.m_max_connections && !m_idle.empty())
+    {
+        m_idle.pop_front();
+    }
+    return *m_open_count < m_options.m_max_connections;
+}
+
+std::uint64_t connection_pool::id_of(http_request const& request) const
+{
+    return m_options.m_request_id ? m_options.m_request_id(request) : 0;
+}
+
 // A connection is not reused if more bytes follow the response, because they
 // belong to no request, or if the server responded before the whole request was
 // written, because it may read the rest as part of the next request.
 void connection_pool::release_if_reusable(
-    std::unique_ptr<connection> used, http_response const& response,
-    bool is_request_written)
+    std::unique_ptr<connection> used, std::uint64_t request_id,
+    http_response const& response, bool is_request_written)
 {
+    if (m_options.m_is_refusal && m_options.m_is_refusal(response))
+    {
+        used->m_refused.push_back(request_id);
+    }
     bool const is_reusable = response.keep_alive() && !response.need_eof() &&
-                             used->m_buffer.size() == 0 && is_request_written;
+                             used->m_buffer.size() == 0 && is_request_written &&
+                             used->m_refused.size() < max_refused_requests;
     if (is_reusable)
     {
         used->m_idle_timeout =
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -46,6 +46,14 @@
     /// function is empty, every response is accepted.
     std::function<bool(http_request const&, http_response const&)>
         m_matches_request;
+    /// Whether a response refuses its request, so that the same request may be
+    /// sent again. It is not sent again on the same connection, because a copy
+    /// of the refusal cannot be distinguished from its response. If the
+    /// function is empty, no response is a refusal.
+    std::function<bool(http_response const&)> m_is_refusal;
+    /// Identifier of a request, which is equal if the same request is sent
+    /// again. Must be set if `m_is_refusal` is set.
+    std::function<std::uint64_t(http_request const&)> m_request_id;
 };
 
 /// Why an exchange returned no response, and whether any byte of the request
@@ -105,19 +113,23 @@
 
     awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>>
     acquire(
-        core::time_point deadline, cancel_scope* scope,
-        core::duration max_idle);
+        std::uint64_t request_id, core::time_point deadline,
+        cancel_scope* scope, core::duration max_idle);
     awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>>
-    acquire_unscoped(core::time_point deadline, core::duration max_idle);
-    [[nodiscard]] std::unique_ptr<connection> acquire_idle(
+    acquire_unscoped(
+        std::uint64_t request_id, core::time_point deadline,
         core::duration max_idle);
+    [[nodiscard]] std::unique_ptr<connection> acquire_idle(
+        std::uint64_t request_id, core::duration max_idle);
+    [[nodiscard]] bool has_room_for_connection();
+    [[nodiscard]] std::uint64_t id_of(http_request const& request) const;
     awaitable<std::variant<http_response, beast::error_code>>
     read_matching_response(
         connection& used, http_request const& request,
         core::time_point deadline);
     void release_if_reusable(
-        std::unique_ptr<connection> used, http_response const& response,
-        bool is_request_written);
+        std::unique_ptr<connection> used, std::uint64_t request_id,
+        http_response const& response, bool is_request_written);
     void release(std::unique_ptr<connection> used);
     void close_expired(core::time_point now);
 
--- a/src/libhibiscustide/net/connection_pool_test.cpp
+++ b/src/libhibiscustide/net/connection_pool_test.cpp
@@ -1,6 +1,11 @@
 #include "net/connection_pool.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +13,8 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <hibiscustide/core/hash.hpp>
+
 namespace net = hibiscustide::net;
 namespace asio = net::asio;
 using hibiscustide::core::reason;
@@ -63,11 +70,12 @@
 net::exchange_result exchange(
     asio::io_context& context, net::connection_pool& pool,
     net::cancel_scope* scope = nullptr,
-    std::chrono::milliseconds timeout = 5'000ms)
+    std::chrono::milliseconds timeout = 5'000ms, std::string const& id = "x")
 {
     net::exchange_result result;
     net::http_request request{net::beast::http::verb::get, "/", 11};
     request.set(net::field::host, "x");
+    request.set("Id", id);
     auto const call = [&]() -> asio::awaitable<void>
     {
         auto const deadline = std::chrono::steady_clock::now() + timeout;
@@ -84,6 +92,137 @@
     return result;
 }
 
+// Bytes that a scripted_server sends after a pause.
+struct piece
+{
+    std::string m_bytes;
+    std::chrono::milliseconds m_after{0};
+};
+
+using script = std::vector<piece>;
+
+// Serves kept connections. The n-th list of scripts is for the n-th connection,
+// and its m-th script for the m-th request on it; the last ones repeat.
+class scripted_server
+{
+public:
+    using scripts = std::vector<script>;
+
+    scripted_server(asio::io_context& context, std::vector<scripts> all)
+        : m_context{context},
+          m_acceptor{context, {asio::ip::address_v4::loopback(), 0}},
+          m_scripts{std::move(all)}
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    [[nodiscard]] hibiscustide::core::endpoint address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    std::size_t m_connections = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true)
+        {
+            auto [error, socket] = co_await m_acceptor.async_accept(no_throw);
+            if (error)
+            {
+                co_return;
+            }
+            auto const index = std::min(m_connections, m_scripts.size() - 1);
+            ++m_connections;
+            asio::co_spawn(
+                m_context, serve(std::move(socket), m_scripts[index]),
+                asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(tcp::socket socket, scripts replies)
+    {
+        socket.set_option(tcp::no_delay{true});
+        asio::steady_timer timer{socket.get_executor()};
+        for (std::size_t n = 0;; n = std::min(n + 1, replies.size() - 1))
+        {
+            std::string request(4'096, '\0');
+            auto const [error, size] = co_await socket.async_read_some(
+                asio::buffer(request), no_throw);
+            if (error)
+            {
+                co_return;
+            }
+            for (auto const& each : replies[n])
+            {
+                timer.expires_after(each.m_after);
+                co_await timer.async_wait(no_throw);
+                co_await asio::async_write(
+                    socket, asio::buffer(each.m_bytes), no_throw);
+            }
+        }
+    }
+
+    asio::io_context& m_context;
+    tcp::acceptor m_acceptor;
+    std::vector<scripts> m_scripts;
+};
+
+// Options of a pool whose server echoes the field Id and refuses a request by
+// the status 503.
+net::connection_pool_options refusable(
+    hibiscustide::core::endpoint const& server)
+{
+    return {
+        .m_remote = server,
+        .m_matches_request =
+            [](net::http_request const& request,
+               net::http_response const& response)
+        {
+            return request["Id"] == response["Id"];
+        },
+        .m_is_refusal =
+            [](net::http_response const& response)
+        {
+            return response.result() == net::status::service_unavailable;
+        },
+        .m_request_id =
+            [](net::http_request const& request)
+        {
+            return hibiscustide::core::hash_of(std::string{request["Id"]});
+        }};
+}
+
+std::string refusal_of(std::string const& id)
+{
+    auto const field = id.empty() ? "" : "Id: " + id + "\r\n";
+    return "HTTP/1.1 503 Full\r\n" + field + "Content-Length: 5\r\n\r\nfull\n";
+}
+
+std::string answer_to(std::string const& id)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+// Status of the response; 0 if there is none and the request was sent.
+unsigned status_of(net::exchange_result const& result)
+{
+    if (auto const* const failure = std::get_if<net::exchange_failure>(&result))
+    {
+        CHECK(failure->m_sent);
+        return 0;
+    }
+    return std::get<net::http_response>(result).result_int();
+}
+
+net::exchange_result exchange(
+    asio::io_context& context, net::connection_pool& pool,
+    std::string const& id)
+{
+    return exchange(context, pool, nullptr, 5'000ms, id);
+}
+
 net::exchange_failure failure_of(net::exchange_result const& result)
 {
     REQUIRE(std::holds_alternative<net::exchange_failure>(result));
@@ -206,3 +345,145 @@
     CHECK_FALSE(failure.m_sent);
     CHECK(failure.m_reason == reason::queue_full);
 }
+
+// A target sent the refusal of a request once more when the request was sent to
+// it again, and then ran the request. The copy has the id of the request.
+TEST_CASE("a copy of a request's refusal does not answer a second sending")
+{
+    for (auto const copy_delay : {0ms, 30ms})
+    {
+        CAPTURE(copy_delay.count());
+        asio::io_context context;
+        script const refuse{piece{refusal_of("a")}};
+        script const copy_and_answer{
+            piece{refusal_of("a"), copy_delay}, piece{answer_to("a"), 10ms}};
+        script const answer{piece{answer_to("a")}};
+        scripted_server const server{
+            context, {{refuse, copy_and_answer}, {answer}}};
+        net::connection_pool pool{context, refusable(server.address())};
+        CHECK(status_of(exchange(context, pool, "a")) == 503);
+        CHECK(status_of(exchange(context, pool, "a")) == 200);
+        CHECK(server.m_connections == 2);
+        CHECK(pool.open_connections() == 2);
+    }
+}
+
+TEST_CASE("a connection with a refusal is used for other requests")
+{
+    asio::io_context context;
+    script const refuse{piece{refusal_of("a")}};
+    script const answer{piece{answer_to("b")}};
+    scripted_server const server{context, {{refuse, answer}}};
+    net::connection_pool pool{context, refusable(server.address())};
+    CHECK(status_of(exchange(context, pool, "a")) == 503);
+    CHECK(status_of(exchange(context, pool, "b")) == 200);
+    CHECK(server.m_connections == 1);
+}
+
+TEST_CASE("a full pool whose connections have all refused a request replaces "
+          "an idle one for it")
+{
+    asio::io_context context;
+    script const refuse{piece{refusal_of("a")}};
+    scripted_server const server{context, {{refuse}}};
+    auto options = refusable(server.address());
+    options.m_max_connections = 1;
+    net::connection_pool pool{context, options};
+    CHECK(status_of(exchange(context, pool, "a")) == 503);
+    CHECK(status_of(exchange(context, pool, "a")) == 503);
+    CHECK(server.m_connections == 2);
+    CHECK(pool.open_connections() == 1);
+}
+
+TEST_CASE("a connection is closed when it has as many refusals as it may keep")
+{
+    constexpr std::size_t refusals = 300;
+    asio::io_context context;
+    scripted_server::scripts replies;
+    for (std::size_t n = 0; n < refusals; ++n)
+    {
+        replies.push_back({piece{refusal_of(std::to_string(n))}});
+    }
+    auto const rest = [&replies](std::size_t first)
+    {
+        auto const begin = replies.begin() + static_cast<std::ptrdiff_t>(first);
+        return scripted_server::scripts{begin, replies.end()};
+    };
+    scripted_server const server{context, {replies, rest(256)}};
+    net::connection_pool pool{context, refusable(server.address())};
+    for (std::size_t n = 0; n < refusals; ++n)
+    {
+        CHECK(status_of(exchange(context, pool, std::to_string(n))) == 503);
+    }
+    CHECK(server.m_connections == 2);
+}
+
+// A target sent the refusal of an earlier request once more on a kept
+// connection, with or without its id.
+TEST_CASE("a copy of an earlier request's refusal does not answer the next "
+          "request")
+{
+    struct arrival
+    {
+        char const* m_name;
+        script m_before; // Sent after the refusal, before the next request.
+        script m_after;  // Sent after the next request, before its answer.
+        unsigned m_status = 200;
+        std::size_t m_connections = 1;
+    };
+    for (std::string const id : {"a", ""})
+    {
+        auto const copy = refusal_of(id);
+        auto const half = copy.size() / 2;
+        piece const whole{copy};
+        piece const late{copy, 5ms};
+        piece const first{copy.substr(0, half)};
+        piece const late_first{copy.substr(0, half), 5ms};
+        piece const second{copy.substr(half), 5ms};
+        std::vector<arrival> const arrivals{
+            {.m_name = "with the refusal",
+             .m_before = {whole},
+             .m_after = {},
+             .m_connections = 2},
+            {.m_name = "before the request",
+             .m_before = {late},
+             .m_after = {},
+             .m_connections = 2},
+            {.m_name = "half of it before the request",
+             .m_before = {late_first},
+             .m_after = {second},
+             .m_connections = 2},
+            {.m_name = "after the request", .m_before = {}, .m_after = {whole}},
+            {.m_name = "after the request in two pieces",
+             .m_before = {},
+             .m_after = {first, second}},
+            {.m_name = "twice after the request",
+             .m_before = {},
+             .m_after = {whole, late}},
+            {.m_name = "three times after the request",
+             .m_before = {},
+             .m_after = {whole, whole, late},
+             .m_status = 0}};
+        for (auto const& each : arrivals)
+        {
+            CAPTURE(id);
+            CAPTURE(each.m_name);
+            asio::io_context context;
+            script refuse{piece{refusal_of("a")}};
+            refuse.insert(
+                refuse.end(), each.m_before.begin(), each.m_before.end());
+            auto answer = each.m_after;
+            answer.push_back({answer_to("b"), 10ms});
+            script const only_answer{piece{answer_to("b")}};
+            scripted_server const server{
+                context, {{refuse, answer}, {only_answer}}};
+            net::connection_pool pool{context, refusable(server.address())};
+            CHECK(status_of(exchange(context, pool, "a")) == 503);
+            context.restart();
+            context.run_for(20ms);
+            auto const status = status_of(exchange(context, pool, "b"));
+            CHECK(status == each.m_status);
+            CHECK(server.m_connections == each.m_connections);
+        }
+    }
+}
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <hibiscustide/core/hash.hpp>
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
@@ -46,6 +47,17 @@
            {
                return wire_protocol.m_read_caller(request).m_attempt ==
                       wire_protocol.m_read_answer(answer).m_attempt;
+           },
+           .m_is_refusal =
+               [&wire_protocol](http_response const& answer)
+           {
+               return wire_protocol.m_read_answer(answer).m_not_run;
+           },
+           .m_request_id =
+               [&wire_protocol](http_request const& request)
+           {
+               return core::hash_of(
+                   wire_protocol.m_read_caller(request).m_attempt);
            }}},
       m_probe_pool{
           context,
