Tests: responses that are cut at any byte never become a success

Callers of similar systems got a 200 with an empty or short body after a target had stopped within the head of its response and closed the connection.

This cannot happen here. Beast's parser reports partial_message if the connection ends in the status line, in a field, or before the end of a body that has a length or is chunked, and read_response returns that error before it looks at the message. The pool then closes the connection and reports the request as sent, which gives may-have-run. A body without a length that is reset ends with the error of the socket.

An answer without a length that is closed within its body by FIN is complete by the protocol and is not part of the tests.

--- a/src/libhibiscustide/net/connection_pool_test.cpp
+++ b/src/libhibiscustide/net/connection_pool_test.cpp
@@ -70,10 +70,11 @@
 net::exchange_result exchange(
     asio::io_context& context, net::connection_pool& pool,
     net::cancel_scope* scope = nullptr,
-    std::chrono::milliseconds timeout = 5'000ms, std::string const& id = "x")
+    std::chrono::milliseconds timeout = 5'000ms, std::string const& id = "x",
+    net::beast::http::verb method = net::beast::http::verb::get)
 {
     net::exchange_result result;
-    net::http_request request{net::beast::http::verb::get, "/", 11};
+    net::http_request request{method, "/", 11};
     request.set(net::field::host, "x");
     request.set("Id", id);
     auto const call = [&]() -> asio::awaitable<void>
@@ -487,3 +488,104 @@
         }
     }
 }
+
+namespace
+{
+
+enum class ending
+{
+    closed, // By FIN.
+    reset
+};
+
+// Answers the first request on each connection with these bytes and ends the
+// connection.
+asio::awaitable<void> serve_once(
+    tcp::acceptor& acceptor, std::string const& bytes, ending how)
+{
+    auto [error, socket] = co_await acceptor.async_accept(no_throw);
+    REQUIRE_FALSE(error);
+    std::string request(4'096, '\0');
+    co_await socket.async_read_some(asio::buffer(request), no_throw);
+    co_await asio::async_write(socket, asio::buffer(bytes), no_throw);
+    if (how == ending::reset)
+    {
+        socket.set_option(asio::socket_base::linger{true, 0});
+    }
+    socket.close();
+}
+
+net::exchange_result exchange_with_cut_response(
+    std::string const& bytes, ending how, net::beast::http::verb method)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    asio::co_spawn(context, serve_once(acceptor, bytes, how), asio::detached);
+    net::connection_pool pool{
+        context, {.m_remote = {"127.0.0.1", acceptor.local_endpoint().port()}}};
+    auto result = exchange(context, pool, nullptr, 5'000ms, "x", method);
+    bool const is_failure =
+        std::holds_alternative<net::exchange_failure>(result);
+    CHECK((!is_failure || pool.open_connections() == 0));
+    return result;
+}
+
+} // namespace
+
+// A target stopped within the head of its response, and callers got a success
+// with an empty or short body.
+TEST_CASE("a response that is cut at any byte is reported as broken and sent")
+{
+    struct cut_response
+    {
+        char const* m_text;
+        net::beast::http::verb m_method = net::beast::http::verb::get;
+    };
+    std::vector<cut_response> const responses{
+        {"HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 12\r\nSeal: s\r\n\r\n"
+         "twelve bytes"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n"
+         "a;name=\"value\"\r\n0123456789\r\n3\r\nabc\r\n0\r\nT: t\r\n\r\n"},
+        {"HTTP/1.1 204 None\r\nId: x\r\n\r\n"},
+        // The head is followed by a body that ends with the connection.
+        {"HTTP/1.1 200 OK\r\nId: x\r\nConnection: close\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n",
+         net::beast::http::verb::head}};
+    for (auto const& each : responses)
+    {
+        std::string const whole{each.m_text};
+        CAPTURE(whole);
+        CHECK(
+            status_of(exchange_with_cut_response(
+                whole, ending::closed, each.m_method)) /
+                100 ==
+            2);
+        for (std::size_t size = 0; size < whole.size(); ++size)
+        {
+            for (auto const how : {ending::closed, ending::reset})
+            {
+                CAPTURE(size);
+                CAPTURE(how == ending::reset);
+                auto const failure = failure_of(exchange_with_cut_response(
+                    whole.substr(0, size), how, each.m_method));
+                CHECK(failure.m_sent);
+                CHECK(failure.m_reason == reason::connection_broken);
+            }
+        }
+    }
+}
+
+TEST_CASE("a response without a length that is reset is broken at any byte")
+{
+    std::string const whole{"HTTP/1.1 200 OK\r\nId: x\r\n\r\nbody"};
+    for (std::size_t size = 0; size <= whole.size(); ++size)
+    {
+        CAPTURE(size);
+        auto const failure = failure_of(exchange_with_cut_response(
+            whole.substr(0, size), ending::reset, net::beast::http::verb::get));
+        CHECK(failure.m_sent);
+        CHECK(failure.m_reason == reason::connection_broken);
+    }
+}
