Status: a datagram without space does not stop the traffic thread

A synchronous send on a socket in blocking mode waits for space, so a full link could stop pings, results and timers of the node, which its peers would see as silent. The socket is now non-blocking, and a datagram without space is lost like any other lost datagram.

--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -70,6 +70,12 @@
     {
         m_socket.bind(address, error);
     }
+    if (!error)
+    {
+        // A datagram for which there is no space is lost; a send that waits
+        // for space would stop the traffic thread.
+        m_socket.non_blocking(true, error);
+    }
     if (error)
     {
         return core::to_string(listen) + ": " + error.message();
