Peer link and server: a further connection replaces one only once it is used

- The gate closed a sender's connection, with the results and bodies on it, at the hello of the next one, which the sender may give up.
It now does so when the list of resumed requests arrives.
- A link that was removed and created again started its numbers anew under the same incarnation, so a gate could refuse its connections or give the result of an old request to a new one.
All links of a node share their numbers.
- A request that waited for a connection was sent with the time left of its arrival.
The waiting time is now taken off deadline and objective.
- The clock of a ping ran while the ping waited in this node.
- Timeouts for connecting double up to 2 s, so that a path with a long delay is not given up each time; a refused connection no longer closes a silent one, which may still deliver results.

--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -34,8 +34,8 @@
 {
     std::string m_node;              ///< The node's IP address.
     std::uint64_t m_incarnation = 0; ///< Random; new at each start.
-    /// Number of the connection among those that the sender has opened to the
-    /// receiver since its start, from 1; 0 from the accepting side.
+    /// Number of the connection among those that the sender has opened since
+    /// its start, ascending; 0 from the accepting side.
     std::uint64_t m_connection = 0;
 
     friend auto operator<=>(hello const&, hello const&) = default;
--- a/src/libhibiscustide/net/mesh/node_table.cpp
+++ b/src/libhibiscustide/net/mesh/node_table.cpp
@@ -151,6 +151,7 @@
         .m_hello =
             {.m_node = m_options.m_address,
              .m_incarnation = m_options.m_incarnation},
+        .m_numbers = m_numbers,
         .m_on_changes = m_options.m_on_changes};
     node->m_link = std::make_shared<peer_link>(m_context, std::move(options));
     return node;
--- a/src/libhibiscustide/net/mesh/node_table.hpp
+++ b/src/libhibiscustide/net/mesh/node_table.hpp
@@ -103,6 +103,7 @@
 private:
     asio::io_context& m_context;
     node_table_options m_options;
+    std::shared_ptr<link_numbers> m_numbers = std::make_shared<link_numbers>();
     std::map<std::string, node_entry_ptr> m_nodes;
     std::map<std::string, std::vector<node_entry_ptr>, std::less<>> m_members;
     node_entry_ptr m_self;
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -23,6 +23,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds connect_timeout{500};
+// The timeouts for connecting double after each failed try, up to this factor,
+// because a full link delays every packet for longer than the first timeout.
+constexpr int max_timeout_factor = 4;
 constexpr milliseconds reconnect_delay{60};
 constexpr milliseconds monitor_interval{100};
 
@@ -43,7 +46,8 @@
 constexpr std::size_t body_piece_bytes = 8'000;
 
 // How long an idempotent request waits for a gate that cannot be reached before
-// it may be sent to another gate. Other requests wait until their deadline.
+// it may be sent to another gate. Other requests that were sent wait until
+// their deadline.
 constexpr milliseconds idempotent_timeout{300};
 
 std::int64_t to_ms(core::duration span)
@@ -84,7 +88,7 @@
 std::uint64_t peer_link::run(
     run_request request, body_buffer_ptr body, done_handler done)
 {
-    auto const id = m_next_id++;
+    auto const id = m_options.m_numbers->next_request();
     auto const now = clock_now();
     auto const timeout = request.m_idempotent
                              ? idempotent_timeout
@@ -99,6 +103,7 @@
     pending_request added{
         .m_done = std::move(done),
         .m_send_deadline = now + std::min(timeout, left),
+        .m_queued_at = now,
         .m_message = std::move(request),
         .m_body = std::move(body)};
     auto const it = m_pending.emplace(id, std::move(added)).first;
@@ -259,7 +264,7 @@
     }
     if (!error)
     {
-        stream.expires_after(connect_timeout);
+        stream.expires_after(connect_timeout * m_timeout_factor);
         auto const [connect_error] =
             co_await stream.async_connect(remote, no_throw);
         error = connect_error;
@@ -281,6 +286,10 @@
 
 void peer_link::open_stream(asio::ip::tcp::socket socket)
 {
+    if (m_opening)
+    {
+        m_opening->close();
+    }
     m_opening = std::make_shared<frame_stream>(std::move(socket));
     auto const weak = weak_from_this();
     std::weak_ptr<frame_stream> const opened = m_opening;
@@ -300,7 +309,7 @@
             }
         });
     auto greeting = m_options.m_hello;
-    greeting.m_connection = ++m_connection_number;
+    greeting.m_connection = m_options.m_numbers->next_connection();
     m_opening->send(greeting);
     if (std::exchange(m_changes_requested, false))
     {
@@ -310,7 +319,7 @@
 
 awaitable<peer_link::connect_result> peer_link::wait_for_hello()
 {
-    m_hello_timer.expires_after(ping_timeout);
+    m_hello_timer.expires_after(ping_timeout * m_timeout_factor);
     co_await m_hello_timer.async_wait(no_throw);
     if (is_usable())
     {
@@ -335,13 +344,10 @@
         return;
     }
     m_changes_requested = false;
-    if (why == connect_result::refused)
+    m_timeout_factor = std::min(2 * m_timeout_factor, max_timeout_factor);
+    // A silent connection may still deliver results of a gate that has ended.
+    if (why == connect_result::refused && !m_stream)
     {
-        if (m_stream)
-        {
-            m_stream->close();
-            m_stream = nullptr;
-        }
         fail_lost_requests(core::reason::peer_unreachable);
     }
     refuse_unsent();
@@ -384,6 +390,14 @@
             send_unsent_requests();
         }
     }
+    if (m_ping_sent_at && m_stream->has_unsent())
+    {
+        m_ping_flushed_at.reset();
+    }
+    else if (m_ping_sent_at && !m_ping_flushed_at)
+    {
+        m_ping_flushed_at = now;
+    }
     if (m_ping_sent_at && !m_lost_since && is_silent(now))
     {
         log_silent(now);
@@ -396,6 +410,7 @@
     {
         m_stream->send(ping{});
         m_ping_sent_at = now;
+        m_ping_flushed_at.reset();
     }
 }
 
@@ -418,8 +433,8 @@
 // long.
 bool peer_link::is_silent(core::time_point now) const noexcept
 {
-    auto const limit = m_stream->has_unsent() ? blocked_timeout : ping_timeout;
-    return now - *m_ping_sent_at > limit;
+    return m_ping_flushed_at ? now - *m_ping_flushed_at > ping_timeout
+                             : now - *m_ping_sent_at > blocked_timeout;
 }
 
 void peer_link::log_unreachable(std::string const& error) const
@@ -495,6 +510,7 @@
 {
     auto const replaced = std::exchange(m_stream, std::move(m_opening));
     m_opening = nullptr;
+    m_timeout_factor = 1;
     m_hello_timer.cancel();
     if (replaced)
     {
@@ -538,7 +554,8 @@
 }
 
 // Asks for the outcomes of the requests that were sent on earlier connections.
-// The gate cancels all others, so the list is sent even if it is empty.
+// The list is sent even if it is empty: the gate uses a further connection only
+// from its list on, and cancels the requests that are not in it.
 void peer_link::resume_sent_requests()
 {
     resume_requests resume;
@@ -549,11 +566,7 @@
             resume.m_ids.push_back(id);
         }
     }
-    bool const is_first_connection = m_connection_number == 1;
-    if (!is_first_connection)
-    {
-        m_stream->send(resume);
-    }
+    m_stream->send(resume);
 }
 
 void peer_link::send_unsent_requests()
@@ -619,7 +632,13 @@
 
 void peer_link::send_now(pending_request& request)
 {
-    m_stream->send(std::exchange(request.m_message, ping{}));
+    auto sent = std::exchange(request.m_message, {});
+    // The gate counts the remaining time from the arrival of the request.
+    auto const waited = to_ms(clock_now() - request.m_queued_at);
+    sent.m_deadline_left_ms =
+        std::max<std::int64_t>(sent.m_deadline_left_ms - waited, 1);
+    sent.m_objective_left_ms -= waited;
+    m_stream->send(sent);
     request.m_sent = true;
 }
 
--- a/src/libhibiscustide/net/mesh/peer_link.hpp
+++ b/src/libhibiscustide/net/mesh/peer_link.hpp
@@ -23,11 +23,34 @@
 namespace hibiscustide::net::mesh
 {
 
+/// Numbers the requests and connections of one node to all gates in ascending
+/// order. Gates identify requests by these numbers, so a link that replaces an
+/// earlier one to the same gate must not use them again.
+class link_numbers
+{
+public:
+    [[nodiscard]] std::uint64_t next_request() noexcept
+    {
+        return ++m_request;
+    }
+
+    [[nodiscard]] std::uint64_t next_connection() noexcept
+    {
+        return ++m_connection;
+    }
+
+private:
+    std::uint64_t m_request = 0;
+    std::uint64_t m_connection = 0;
+};
+
 struct peer_link_options
 {
     core::endpoint m_remote;     ///< The peer server of the other node.
     std::string m_local_address; ///< Source address of the connections.
     hello m_hello;               ///< Identifies this node.
+    /// Shared by all links of this node.
+    std::shared_ptr<link_numbers> m_numbers = std::make_shared<link_numbers>();
     /// Called for published changes that the other node sends.
     std::function<void(core::directory::item_changes&&)> m_on_changes;
 };
@@ -87,7 +110,8 @@
         done_handler m_done;
         /// When the request is refused if it could not be sent.
         core::time_point m_send_deadline;
-        message m_message; ///< Kept until it is sent.
+        core::time_point m_queued_at;
+        run_request m_message; ///< Kept until it is sent.
         bool m_sent = false;
         body_buffer_ptr m_body;            ///< Null if the message contains it.
         std::uint64_t m_body_position = 0; ///< Number of bytes that were sent.
@@ -144,17 +168,18 @@
     asio::steady_timer m_monitor_timer;
     asio::steady_timer m_hello_timer; ///< Cancelled when m_opening changes.
     std::map<std::uint64_t, pending_request> m_pending;
-    std::uint64_t m_next_id = 1;
-    std::uint64_t m_connection_number = 0; ///< Of the newest connection.
     /// Random number that the gate's node chose at its start; 0 before the
     /// first hello.
     std::uint64_t m_incarnation = 0;
     /// When the last ping was sent. Reset once bytes have been received since.
     std::optional<core::time_point> m_ping_sent_at;
+    /// When the last ping was found to have left this node; nothing before.
+    std::optional<core::time_point> m_ping_flushed_at;
     /// Since when the connection has been silent, or broken with requests
     /// pending.
     std::optional<core::time_point> m_lost_since;
     std::uint64_t m_requested_after = 0;
+    int m_timeout_factor = 1; ///< Of the timeouts for connecting.
     bool m_changes_requested = false;
     bool m_connecting = false;
     bool m_monitoring = false;
--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -84,6 +84,7 @@
     }
 
     std::vector<std::uint64_t> m_requests;
+    std::vector<std::int64_t> m_deadlines_left_ms;
     std::vector<std::uint64_t> m_resumed;
     std::vector<std::uint64_t> m_connection_numbers;
     int m_connections = 0;
@@ -128,6 +129,7 @@
         if (auto const* const request = std::get_if<mesh::run_request>(&value))
         {
             m_requests.push_back(request->m_id);
+            m_deadlines_left_ms.push_back(request->m_deadline_left_ms);
         }
         if (auto const* const resume =
                 std::get_if<mesh::resume_requests>(&value))
@@ -169,15 +171,22 @@
         m_context.run_for(span);
     }
 
-    asio::io_context m_context;
-    fake_gate m_gate{m_context};
-    std::shared_ptr<mesh::peer_link> m_link = std::make_shared<mesh::peer_link>(
-        m_context,
-        mesh::peer_link_options{
+    [[nodiscard]] mesh::peer_link_options link_options() const
+    {
+        return {
             .m_remote = m_gate.endpoint(),
             .m_local_address = address,
             .m_hello = {.m_node = address, .m_incarnation = 77},
-            .m_on_changes = [](auto&&) {}});
+            .m_numbers = m_numbers,
+            .m_on_changes = [](auto&&) {}};
+    }
+
+    asio::io_context m_context;
+    fake_gate m_gate{m_context};
+    std::shared_ptr<mesh::link_numbers> m_numbers =
+        std::make_shared<mesh::link_numbers>();
+    std::shared_ptr<mesh::peer_link> m_link =
+        std::make_shared<mesh::peer_link>(m_context, link_options());
     std::vector<mesh::run_result> m_results;
 };
 
@@ -344,3 +353,35 @@
     CHECK(received->m_outcome == mesh::outcome::not_run);
     CHECK(received->m_reason == core::reason::peer_unreachable);
 }
+
+// The gate counts the remaining time from the arrival of a request.
+TEST_CASE("the time for which a request waits for a connection is taken off "
+          "its deadline")
+{
+    fixture test;
+    test.m_gate.set_unresponsive(true);
+    test.run(false, 5'000);
+    test.wait(300ms);
+    test.m_gate.restart();
+    test.m_gate.set_unresponsive(false);
+    test.wait(200ms);
+    REQUIRE(test.m_gate.m_deadlines_left_ms.size() == 1);
+    CHECK(test.m_gate.m_deadlines_left_ms.front() <= 4'700);
+}
+
+// A gate keeps the records of the requests of an earlier link for some time.
+TEST_CASE(
+    "a link that replaces an earlier one does not use its request ids and "
+    "connection numbers again")
+{
+    fixture test;
+    auto const first = test.run(false);
+    test.wait(50ms);
+    test.m_link->close();
+    test.m_link =
+        std::make_shared<mesh::peer_link>(test.m_context, test.link_options());
+    auto const second = test.run(false);
+    test.wait(50ms);
+    CHECK(second > first);
+    CHECK(test.m_gate.m_connection_numbers == std::vector<std::uint64_t>{1, 2});
+}
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -50,6 +50,7 @@
 {
     std::shared_ptr<frame_stream> m_stream;
     std::uint64_t m_incarnation = 0; ///< Of the sender; 0 before its hello.
+    bool m_is_current = false;       ///< Whether requests are accepted on it.
     std::uint64_t m_number = 0; ///< Of the sender's connections to this node.
     std::string m_node;         ///< Address of the sender.
 };
@@ -161,38 +162,41 @@
     if (auto const* const greeting = std::get_if<hello>(&value))
     {
         on_hello(sender, *greeting);
-        return;
     }
-    if (sender->m_incarnation == 0)
+    else if (std::holds_alternative<ping>(value))
     {
-        return;
+        sender->m_stream->send(ping{.m_is_answer = true});
     }
-    if (auto* const request = std::get_if<run_request>(&value))
+    else if (auto const* const requested = std::get_if<changes_request>(&value))
     {
-        on_run(sender, std::move(*request));
+        on_changes_request(sender, *requested);
     }
     else if (auto const* const resume = std::get_if<resume_requests>(&value))
     {
         on_resume(sender, *resume);
     }
-    else if (auto* const piece = std::get_if<body_piece>(&value))
+    else if (sender->m_is_current)
     {
-        request_key const key{
-            .m_incarnation = sender->m_incarnation, .m_id = piece->m_id};
-        m_bodies.on_piece(key, std::move(*piece));
+        on_request_message(sender, std::move(value));
     }
-    else if (auto const* const cancelled = std::get_if<cancel_request>(&value))
+}
+
+void peer_server::on_request_message(session_ptr const& sender, message&& value)
+{
+    auto const incarnation = sender->m_incarnation;
+    if (auto* const request = std::get_if<run_request>(&value))
     {
-        on_cancel(
-            {.m_incarnation = sender->m_incarnation, .m_id = cancelled->m_id});
+        on_run(sender, std::move(*request));
     }
-    else if (std::holds_alternative<ping>(value))
+    else if (auto* const piece = std::get_if<body_piece>(&value))
     {
-        sender->m_stream->send(ping{.m_is_answer = true});
+        request_key const key{
+            .m_incarnation = incarnation, .m_id = piece->m_id};
+        m_bodies.on_piece(key, std::move(*piece));
     }
-    else if (auto const* const requested = std::get_if<changes_request>(&value))
+    else if (auto const* const cancelled = std::get_if<cancel_request>(&value))
     {
-        on_changes_request(sender, *requested);
+        on_cancel({.m_incarnation = incarnation, .m_id = cancelled->m_id});
     }
 }
 
@@ -228,14 +232,13 @@
     stream.send_encoded(bytes);
 }
 
-// Only the newest connection of a sender is used. Requests that still arrive on
-// an older one must not run, since on the newest one they are reported as not
-// run.
+// The first connection of a sender is used at once. A further one is used from
+// its list of resumed requests on, since the sender may give it up before, and
+// the earlier one may still deliver results and pieces of bodies until then.
 void peer_server::on_hello(session_ptr const& sender, hello const& greeting)
 {
-    bool const is_newest = m_senders.accept_connection(
-        greeting.m_incarnation, greeting.m_connection, clock_now());
-    if (!is_newest)
+    if (m_senders.has_reconnected(
+            greeting.m_incarnation, greeting.m_connection))
     {
         sender->m_stream->close();
         return;
@@ -243,13 +246,40 @@
     sender->m_incarnation = greeting.m_incarnation;
     sender->m_number = greeting.m_connection;
     sender->m_node = greeting.m_node;
-    auto& current = m_sessions[greeting.m_incarnation];
-    if (current)
+    if (!m_sessions.contains(greeting.m_incarnation))
+    {
+        static_cast<void>(make_current(sender));
+    }
+}
+
+// Only the newest connection of a sender is used. Requests that still arrive on
+// an older one must not run, since on the newest one they are reported as not
+// run. Returns whether this connection is the newest one.
+bool peer_server::make_current(session_ptr const& sender)
+{
+    if (sender->m_is_current)
+    {
+        return true;
+    }
+    bool const is_newest =
+        sender->m_incarnation != 0 &&
+        m_senders.accept_connection(
+            sender->m_incarnation, sender->m_number, clock_now());
+    if (!is_newest)
     {
-        current->m_stream->close();
-        m_bodies.fail_all_of(greeting.m_incarnation);
+        sender->m_stream->close();
+        return false;
     }
-    current = sender;
+    auto const replaced =
+        std::exchange(m_sessions[sender->m_incarnation], sender);
+    sender->m_is_current = true;
+    if (replaced)
+    {
+        replaced->m_is_current = false;
+        replaced->m_stream->close();
+        m_bodies.fail_all_of(sender->m_incarnation);
+    }
+    return true;
 }
 
 void peer_server::on_run(session_ptr const& sender, run_request&& request)
@@ -299,6 +329,10 @@
 void peer_server::on_resume(
     session_ptr const& sender, resume_requests const& resume)
 {
+    if (!make_current(sender))
+    {
+        return;
+    }
     cancel_unlisted(sender->m_incarnation, resume);
     for (auto const id : resume.m_ids)
     {
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -74,7 +74,9 @@
     awaitable<void> cleanup_loop();
     void start_session(asio::ip::tcp::socket socket);
     void on_message(session_ptr const& sender, message&& value);
+    void on_request_message(session_ptr const& sender, message&& value);
     void on_hello(session_ptr const& sender, hello const& greeting);
+    [[nodiscard]] bool make_current(session_ptr const& sender);
     void on_run(session_ptr const& sender, run_request&& request);
     void on_cancel(request_key const& key);
     void on_changes_request(
--- a/src/libhibiscustide/net/mesh/peer_server_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server_test.cpp
@@ -177,3 +177,25 @@
     REQUIRE(answers.size() == 1);
     CHECK(answers.front().m_reason == core::reason::unknown_service);
 }
+
+// The sender gives up a new connection on which the hello of the gate is late.
+// The earlier connection may still deliver its results until then.
+TEST_CASE("a further connection without a list of resumed requests does not "
+          "end the earlier one")
+{
+    fixture test;
+    sender_connection earlier{test.m_context, test.m_listen};
+    earlier.greet(1);
+    test.wait(50ms);
+    sender_connection further{test.m_context, test.m_listen};
+    further.greet(2);
+    further.m_stream->send(
+        mesh::run_request{.m_id = 8, .m_deadline_left_ms = 1'000});
+    test.wait(50ms);
+    CHECK(further.received<mesh::run_result>().empty());
+    earlier.m_stream->send(
+        mesh::run_request{.m_id = 9, .m_deadline_left_ms = 1'000});
+    test.wait(50ms);
+    CHECK_FALSE(earlier.m_closed);
+    CHECK(earlier.received<mesh::run_result>().size() == 1);
+}
