Announce the close of a draining connection in its last response

What callers saw: a stopping node answered without "Connection: close" and then closed the connection. A client that had sent its next request meanwhile had no answer to it, and no statement that it was not read, so a request that must not repeat could not be sent again.

Cause: the response is the last one if no other request is being read. A handler that returns at once, such as a refusal, ran while its own request still counted as being read. After the server had stopped, a request that had arrived and would not be read also counted.

Change: a request that is read completely no longer counts as being read when its handler starts, and unread input does not count once the server has stopped.

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -86,7 +86,7 @@
     std::map<std::uint64_t, std::shared_ptr<cancel_scope>> m_scopes;
     bool m_reading = false; ///< A request has begun to arrive.
     bool m_writing = false;
-    bool m_closing = false; ///< No further request is read.
+    bool m_closing = false;    ///< No further request is read.
 };
 
 // Reads and discards input for a short time. Closing a socket with unread input
@@ -343,6 +343,8 @@
     }
     auto& request = std::get<http_request>(read);
     bool const keep_alive = request.keep_alive();
+    // The response may be written before the next statement runs.
+    connection->m_reading = false;
     start_response(connection, std::move(request), nullptr);
     co_return keep_alive;
 }
@@ -371,6 +373,7 @@
             reject(connection, status_for_read_error(body_error));
             co_return false;
         }
+        connection->m_reading = false;
         start_response(connection, std::move(request), nullptr);
         co_return keep_alive;
     }
@@ -558,7 +561,7 @@
         // so that every request that has been read gets a response.
         bool const is_last = connection->pending_responses() == 1 &&
                              !connection->m_reading &&
-                             connection->m_buffer.size() == 0;
+                             (m_stopped || connection->m_buffer.size() == 0);
         if (m_draining && is_last)
         {
             response.keep_alive(false);
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -140,6 +140,31 @@
     CHECK(test.m_server->busy_connections() == 0);
 }
 
+// Otherwise the client does not send its next request elsewhere.
+TEST_CASE("a draining server announces the close although it answers at once")
+{
+    fixture test;
+    test.m_ready["/1"] = true;
+    test.m_server->begin_drain();
+    test.send("/1");
+    CHECK(test.read().find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a stopped server announces the close although a request that it "
+          "does not read has arrived")
+{
+    fixture test;
+    test.send("/1");
+    test.wait();
+    test.m_server->begin_drain();
+    test.m_server->stop_accepting();
+    test.m_server->close_idle();
+    test.send("/2");
+    test.wait();
+    test.m_ready["/1"] = true;
+    CHECK(test.read().find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("a connection with a request in progress is not closed as idle")
 {
     fixture test;
