Pass on only requests that can end before a stopping node exits

What callers saw: in a planned stop, requests that came late in the grace period were passed on. Those whose targets were still at work at the stop limit were cut without an answer, also those that must not be repeated.

Cause: a stopping node passed each request on with its full deadline, up to 12 s, although it exits 5.3 s after the signal. Nothing ended them before the exit.

Change: core/admission/stop_window decides from the time left. A request that is not expected to end in time (residence at the chosen target, times 1.5) is refused at once as not run, unless its own deadline ends it in time. The deadlines of all others, also of those that run when the stop begins, end 150 ms before the exit, so that the target stops then and the caller gets a 504 before the exit.

Limit: the usual processing time is an average. A request that takes over 1.5 times as long as expected may still end as a 504.

--- /dev/null
+++ b/src/include/hibiscustide/core/admission/stop_window.hpp
@@ -0,0 +1,39 @@
+/// \file
+/// Decides which requests a node may still pass on while it stops.
+#ifndef HIBISCUSTIDE_CORE_ADMISSION_STOP_WINDOW_HPP
+#define HIBISCUSTIDE_CORE_ADMISSION_STOP_WINDOW_HPP
+
+#include <chrono>
+
+#include <hibiscustide/core/time.hpp>
+
+namespace hibiscustide::core::admission
+{
+
+/// Time before its exit in which a node passes the last answers on. It covers
+/// their way from the target through another node to the caller.
+inline constexpr std::chrono::milliseconds last_answers_time{150};
+
+/// A request ends within its expected time multiplied by this number, as a
+/// rule.
+inline constexpr double work_variation = 1.5;
+
+/// The time that a stopping node has left.
+struct stop_window
+{
+    time_point m_exit{}; ///< The process ends at this time.
+
+    /// When every request must have ended, so that it is answered before the
+    /// exit. Bounds the deadlines of requests.
+    [[nodiscard]] time_point last_end() const noexcept;
+
+    /// Whether a request that ends at its deadline, and probably takes
+    /// `expected` from `now` on, may still be passed on. A request for which
+    /// this is false must be refused before any target gets it.
+    [[nodiscard]] bool may_start(
+        duration expected, time_point deadline, time_point now) const noexcept;
+};
+
+} // namespace hibiscustide::core::admission
+
+#endif
--- /dev/null
+++ b/src/libhibiscustide/core/admission/stop_window_test.cpp
@@ -0,0 +1,47 @@
+#include <hibiscustide/core/admission/stop_window.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+using hibiscustide::core::time_point;
+using hibiscustide::core::admission::last_answers_time;
+using hibiscustide::core::admission::stop_window;
+
+namespace
+{
+
+constexpr time_point start{1'000s};
+constexpr stop_window stopping{.m_exit = start + 5s + last_answers_time};
+constexpr time_point far_deadline = start + 60s;
+
+} // namespace
+
+TEST_CASE("a stopping node passes on what is expected to end in time")
+{
+    CHECK(stopping.may_start(3s, far_deadline, start));
+    CHECK(stopping.may_start(600ms, far_deadline, start + 4s));
+}
+
+TEST_CASE("a stopping node refuses what is expected to end after its exit, "
+          "with a margin for longer work")
+{
+    CHECK_FALSE(stopping.may_start(3'500ms, far_deadline, start));
+    CHECK_FALSE(stopping.may_start(700ms, far_deadline, start + 4s));
+}
+
+TEST_CASE("a stopping node passes on what ends at its deadline in time")
+{
+    CHECK(stopping.may_start(3s, start + 4'500ms, start + 4s));
+    CHECK_FALSE(stopping.may_start(3s, start + 5'001ms, start + 4s));
+}
+
+TEST_CASE("a stopping node passes nothing on while it sends its last answers")
+{
+    CHECK_FALSE(stopping.may_start(1ms, start + 5'001ms, start + 5s));
+    CHECK_FALSE(stopping.may_start(1ms, start + 4'999ms, start + 5s));
+}
+
+TEST_CASE("the last end of a request leaves time for its answer")
+{
+    CHECK(stopping.last_end() == start + 5s);
+}
--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -75,8 +75,13 @@
 call::call(call_environment const& environment, call_options options)
     : m_environment{environment},
       m_options{std::move(options)},
+      m_caller_deadline{m_options.m_deadline},
       m_completion{environment.m_context}
 {
+    if (environment.m_stop)
+    {
+        begin_stop(*environment.m_stop);
+    }
 }
 
 awaitable<call_result> call::run()
@@ -102,6 +107,12 @@
         std::nullopt);
 }
 
+void call::begin_stop(core::admission::stop_window const& stop)
+{
+    m_environment.m_stop = stop;
+    m_options.m_deadline = std::min(m_options.m_deadline, stop.last_end());
+}
+
 void call::on_tick(core::time_point now)
 {
     if (m_finished)
@@ -110,11 +121,15 @@
     }
     if (now >= m_options.m_deadline)
     {
+        bool const may_have_run =
+            m_targets_reached > 0 || running_attempts() > 0;
+        // A caller that still has time can go to another node at once.
+        bool const is_cut_by_stop = !may_have_run && now < m_caller_deadline;
         run_result timeout_result{
-            .m_outcome = m_targets_reached > 0 || running_attempts() > 0
-                             ? outcome::may_have_run
-                             : outcome::not_run,
-            .m_reason = core::reason::deadline_passed};
+            .m_outcome =
+                may_have_run ? outcome::may_have_run : outcome::not_run,
+            .m_reason = is_cut_by_stop ? core::reason::draining
+                                       : core::reason::deadline_passed};
         finish(m_last_failure.value_or(timeout_result), std::nullopt);
         return;
     }
@@ -138,7 +153,7 @@
 void call::place_attempt()
 {
     auto const now = clock_now();
-    if (refuse_if_no_room(now))
+    if (refuse_if_stopping(now) || refuse_if_no_room(now))
     {
         return;
     }
@@ -160,6 +175,29 @@
     retry_placement_or_refuse(now);
 }
 
+// Refuses the request if it is not expected to end before this node exits.
+// Returns whether no further attempt may be placed.
+bool call::refuse_if_stopping(core::time_point now)
+{
+    auto const node = m_environment.m_stop ? choose_node(now) : nullptr;
+    if (!node)
+    {
+        return false;
+    }
+    auto const expected = core::routing::expected_residence_time(
+        node->m_view, m_options.m_usual_work, now);
+    if (m_environment.m_stop->may_start(expected, m_caller_deadline, now))
+    {
+        return false;
+    }
+    m_last_refusal = {.m_reason = core::reason::draining};
+    if (running_attempts() == 0)
+    {
+        finish(m_last_failure.value_or(m_last_refusal), std::nullopt);
+    }
+    return true;
+}
+
 // Refuses the request if no target is expected to admit it, or if enough gates
 // have refused it for lack of room. An attempt that is running goes on. Returns
 // whether no further attempt may be placed.
--- a/src/libhibiscustide/net/mesh/call.hpp
+++ b/src/libhibiscustide/net/mesh/call.hpp
@@ -13,6 +13,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <hibiscustide/core/admission/stop_window.hpp>
 #include <hibiscustide/core/directory/configuration.hpp>
 #include <hibiscustide/core/retry/hedging.hpp>
 #include <hibiscustide/core/retry/windowed_retry_budget.hpp>
@@ -33,6 +34,8 @@
     target_gate& m_gate;
     metrics& m_counts;
     std::mt19937_64& m_random;
+    /// Set while the node stops.
+    std::optional<core::admission::stop_window> m_stop;
 };
 
 /// The parameters of a call, fixed at its start.
@@ -76,6 +79,10 @@
     /// disconnected.
     void cancel();
 
+    /// Ends the call before the node exits. Call it once when the node begins
+    /// to stop.
+    void begin_stop(core::admission::stop_window const& stop);
+
     /// Checks deadline, placement retry and hedging. Must be called every few
     /// milliseconds while the call runs.
     void on_tick(core::time_point now);
@@ -98,6 +105,7 @@
     void hedge_if_slow(core::time_point now);
     void finish(run_result result, std::optional<std::size_t> index);
     void retry_placement_or_refuse(core::time_point now);
+    [[nodiscard]] bool refuse_if_stopping(core::time_point now);
     [[nodiscard]] bool refuse_if_no_room(core::time_point now);
     void cancel_attempts();
     [[nodiscard]] node_entry_ptr choose_node(core::time_point now) const;
@@ -114,6 +122,8 @@
 
     call_environment m_environment;
     call_options m_options;
+    /// m_options.m_deadline may be earlier because this node stops.
+    core::time_point m_caller_deadline;
     completion<call_result> m_completion;
     std::vector<attempt> m_attempts;
     std::vector<node_entry const*> m_refused; ///< Refused this round.
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -86,7 +86,8 @@
           .m_nodes = nodes,
           .m_gate = gate,
           .m_counts = counts,
-          .m_random = m_random},
+          .m_random = m_random,
+          .m_stop = std::nullopt},
       m_directory{std::make_shared<core::directory::directory const>()},
       m_tick_timer{context}
 {
@@ -188,6 +189,15 @@
     }
 }
 
+void dispatcher::begin_stop(core::admission::stop_window const& stop)
+{
+    m_environment.m_stop = stop;
+    for (auto const& each : m_calls)
+    {
+        each->begin_stop(stop);
+    }
+}
+
 std::size_t dispatcher::active_calls() const noexcept
 {
     return m_calls.size();
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -53,6 +53,10 @@
     /// configuration has changed.
     void set_directory(core::directory::directory_ptr const& current);
 
+    /// Passes on only what is expected to end before the exit of this node, and
+    /// ends all calls before it.
+    void begin_stop(core::admission::stop_window const& stop);
+
     /// Number of calls that are not answered yet.
     [[nodiscard]] std::size_t active_calls() const noexcept;
 
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/graceful_stop.cpp
@@ -0,0 +1,53 @@
+#include "net/mesh/graceful_stop.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <hibiscustide/core/admission/stop_window.hpp>
+
+#include "net/clock.hpp"
+
+namespace hibiscustide::net::mesh
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// How long the node keeps accepting callers' connections after readiness is
+// withdrawn: callers are directed to other nodes after two failed readiness
+// checks, one per second.
+constexpr milliseconds drain_notice{2'600};
+
+// Time that a client which has just connected has to send its request.
+constexpr milliseconds idle_grace{250};
+constexpr milliseconds check_interval{20};
+
+awaitable<void> pause(core::duration span)
+{
+    asio::steady_timer timer{co_await asio::this_coro::executor, span};
+    co_await timer.async_wait(no_throw);
+}
+
+} // namespace
+
+awaitable<std::size_t> stop_gracefully(
+    traffic_thread& traffic, core::time_point limit)
+{
+    core::admission::stop_window const window{.m_exit = limit};
+    traffic.begin_drain(window);
+    co_await pause(drain_notice);
+    traffic.stop_accepting();
+    co_await pause(idle_grace);
+    traffic.close_idle();
+    auto remaining = co_await traffic.active_count();
+    while (remaining > 0 && clock_now() < limit)
+    {
+        co_await pause(check_interval);
+        remaining = co_await traffic.active_count();
+    }
+    co_return remaining;
+}
+
+} // namespace hibiscustide::net::mesh
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -205,12 +205,13 @@
         });
 }
 
-void traffic_thread::begin_drain()
+void traffic_thread::begin_drain(core::admission::stop_window const& stop)
 {
     asio::post(
         m_context,
-        [this]
+        [this, stop]
         {
+            m_dispatcher.begin_stop(stop);
             m_gate.begin_drain();
             m_status_exchange.send_to_all();
             m_caller_server->begin_drain();
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -78,9 +78,10 @@
         std::function<void(core::directory::item_changes)> const& send_reply,
         core::directory::item_changes changes);
 
-    /// Refuses new requests to the local target. Callers are still served, but
-    /// their connections are closed after the next response.
-    void begin_drain();
+    /// Refuses new requests to the local target. Callers are still
+    /// served as far as their requests can end in time, but their connections
+    /// are closed after the next response.
+    void begin_drain(core::admission::stop_window const& stop);
 
     /// Stops accepting callers' connections.
     void stop_accepting();
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -15,6 +15,7 @@
 #include "net/clock.hpp"
 #include "net/http_server.hpp"
 #include "net/mesh/directory_sync.hpp"
+#include "net/mesh/graceful_stop.hpp"
 #include "net/mesh/protocol.hpp"
 #include "net/mesh/publisher.hpp"
 #include "net/mesh/traffic_thread.hpp"
@@ -36,14 +37,6 @@
 constexpr milliseconds seed_timeout{120};
 constexpr milliseconds first_start_seed_timeout{400};
 
-// How long the node keeps accepting callers' connections after readiness is
-// withdrawn: callers are directed to other nodes after two failed readiness
-// checks, one per second.
-constexpr milliseconds drain_notice{2'600};
-
-// Time that a client which has just connected has to send its request.
-constexpr milliseconds idle_grace{250};
-constexpr milliseconds stop_check_interval{20};
 constexpr milliseconds flush_interval{200};
 constexpr std::size_t max_ready_connections = 16;
 
@@ -300,27 +293,14 @@
     }
 }
 
-// Shuts down gracefully: answers all requests that were received, and keeps
-// serving until the callers are directed to other nodes.
 awaitable<void> mesh_node::implementation::shut_down()
 {
     log_event(event::node_stopping);
-    auto const began_at = clock_now();
-    auto const limit = began_at + m_settings.m_stop_limit;
     m_draining = true;
-    m_traffic.begin_drain();
-    co_await pause(drain_notice);
-    m_traffic.stop_accepting();
-    co_await pause(idle_grace);
-    m_traffic.close_idle();
-    auto remaining = co_await m_traffic.active_count();
-    while (remaining > 0 && clock_now() < limit)
-    {
-        co_await pause(stop_check_interval);
-        remaining = co_await m_traffic.active_count();
-    }
+    auto const unanswered = co_await mesh::stop_gracefully(
+        m_traffic, clock_now() + m_settings.m_stop_limit);
     log_event(
-        event::node_stopped, {{"cut", static_cast<std::int64_t>(remaining)}});
+        event::node_stopped, {{"cut", static_cast<std::int64_t>(unanswered)}});
     m_context.stop();
 }
 
