A stopping gate refuses waiting requests at once and reports running ones

What callers saw: requests that waited at the gate of a stopping node stayed there until a slot became free or their deadline had passed, and were refused then at the latest. Requests that its target still ran at the exit had no result: their callers waited until their deadlines.

Cause: begin_drain refused new requests only, and start_queued_requests refused each waiting one when its turn came. Nothing ended the running requests before the exit.

Evidence, failed before: "a request that waits at a stopping gate is refused at once": CHECK( 504 == 503 ), after 4.9 s; "a request that is at work when its gate exits ...": CHECK( 504 == 502 ), after 4.9 s at a limit of 3.3 s. Both pass now.

--- a/src/libhibiscustide/net/mesh/graceful_stop.cpp
+++ b/src/libhibiscustide/net/mesh/graceful_stop.cpp
@@ -44,6 +44,10 @@
     auto remaining = co_await traffic.active_count();
     while (remaining > 0 && clock_now() < limit)
     {
+        if (clock_now() >= window.last_end())
+        {
+            traffic.end_running();
+        }
         co_await pause(check_interval);
         remaining = co_await traffic.active_count();
     }
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -234,12 +234,31 @@
 void target_gate::begin_drain()
 {
     m_draining = true;
+    // Their senders can place them elsewhere while there is time.
+    for (auto const id : m_queue.take_all())
+    {
+        refuse_queued(id, core::reason::draining);
+    }
     if (m_on_change)
     {
         m_on_change();
     }
 }
 
+void target_gate::end_running()
+{
+    // Ending a request changes m_requests.
+    auto const requests = m_requests;
+    for (auto const& [id, active] : requests)
+    {
+        if (active->m_running)
+        {
+            active->m_ended_by_stop = true;
+            active->m_scope.cancel();
+        }
+    }
+}
+
 std::size_t target_gate::active_requests() const noexcept
 {
     return m_requests.size();
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -97,9 +97,13 @@
     /// targets have measured to give the highest throughput.
     void set_share_of_peers(std::optional<double> share);
 
-    /// Refuses all new requests, because the node is stopping.
+    /// Refuses all new and waiting requests, because the node is stopping.
     void begin_drain();
 
+    /// Ends the running requests as possibly run, because the node is about to
+    /// exit.
+    void end_running();
+
     /// Number of waiting and running requests.
     [[nodiscard]] std::size_t active_requests() const noexcept;
 
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -105,9 +105,14 @@
         {
             record_outcome(active, target_outcome::failed);
         }
+        bool const is_cut_by_stop =
+            active.m_ended_by_stop &&
+            failure->m_reason == core::reason::caller_left;
+        auto const why =
+            is_cut_by_stop ? core::reason::draining : failure->m_reason;
         if (!failure->m_sent)
         {
-            return make_refusal(failure->m_reason);
+            return make_refusal(why);
         }
         if (failure->m_reason == core::reason::connection_broken)
         {
@@ -117,7 +122,7 @@
         m_pool.close_idle();
         return {
             .m_outcome = outcome::may_have_run,
-            .m_reason = failure->m_reason,
+            .m_reason = why,
             .m_reached_target = true};
     }
     auto& response = std::get<http_response>(exchanged);
--- a/src/libhibiscustide/net/mesh/target_gate_internal.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate_internal.hpp
@@ -38,6 +38,7 @@
     core::admission::fingerprint m_fingerprint{};
     bool m_running = false;
     bool m_cancelled = false;
+    bool m_ended_by_stop = false; ///< See target_gate::end_running().
 
     /// Sets the hash of the method, the path and the body, or of the part of it
     /// that has arrived. The hashes of equal requests of different callers are
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -218,6 +218,16 @@
         });
 }
 
+void traffic_thread::end_running()
+{
+    asio::post(
+        m_context,
+        [this]
+        {
+            m_gate.end_running();
+        });
+}
+
 void traffic_thread::stop_accepting()
 {
     asio::post(
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -78,11 +78,15 @@
         std::function<void(core::directory::item_changes)> const& send_reply,
         core::directory::item_changes changes);
 
-    /// Refuses new requests to the local target. Callers are still
+    /// Refuses new and waiting requests to the local target. Callers are still
     /// served as far as their requests can end in time, but their connections
     /// are closed after the next response.
     void begin_drain(core::admission::stop_window const& stop);
 
+    /// Reports the requests at which the local target is still at work as
+    /// possibly run.
+    void end_running();
+
     /// Stops accepting callers' connections.
     void stop_accepting();
 
