Exit only after the last results and answers have left the node

What callers saw: a request that a target had answered could end as possibly run when its gate stopped.

Cause: a stop counted requests in progress, not results. A result that waited in the stream to its sender, or in the kernel for a full link, was dropped by the exit. For callers, the exit could also close a socket with unread input, which resets the connection.

The reset of callers' connections was not seen in a run; "a connection counts as closing until its client has closed it" covers the count only.

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -86,6 +86,7 @@
     std::map<std::uint64_t, std::shared_ptr<cancel_scope>> m_scopes;
     bool m_reading = false; ///< A request has begun to arrive.
     bool m_writing = false;
+    bool m_discarding = false; ///< The peer may still read the last response.
     bool m_closing = false;    ///< No further request is read.
 };
 
@@ -178,7 +179,7 @@
     m_stopped = true;
     for (auto const& connection : m_sessions)
     {
-        if (connection->is_busy())
+        if (connection->is_busy() || connection->m_discarding)
         {
             continue;
         }
@@ -204,6 +205,17 @@
     return static_cast<std::size_t>(count);
 }
 
+std::size_t http_server::closing_connections() const noexcept
+{
+    auto const is_closing = [](session_ptr const& connection)
+    {
+        return connection->m_discarding;
+    };
+    auto const count =
+        std::count_if(m_sessions.begin(), m_sessions.end(), is_closing);
+    return static_cast<std::size_t>(count);
+}
+
 std::size_t http_server::open_connections() const noexcept
 {
     return m_sessions.size();
@@ -260,7 +272,9 @@
         auto const oldest = clock_now() - m_options.m_idle_timeout;
         for (auto const& connection : m_sessions)
         {
-            if (!connection->is_busy() && connection->m_last_active < oldest)
+            bool const is_in_use =
+                connection->is_busy() || connection->m_discarding;
+            if (!is_in_use && connection->m_last_active < oldest)
             {
                 connection->m_stream.close();
             }
@@ -285,6 +299,7 @@
     beast::error_code ignored;
     connection->m_stream.socket().shutdown(
         asio::ip::tcp::socket::shutdown_send, ignored);
+    connection->m_discarding = true;
     co_await discard_input(*connection);
     connection->m_stream.close();
     m_sessions.erase(connection);
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -91,6 +91,10 @@
     /// The number of connections on which a request is being read or processed.
     [[nodiscard]] std::size_t busy_connections() const noexcept;
 
+    /// The number of connections on which the last response was written and the
+    /// client has a short time to read it. Closing them could reset them.
+    [[nodiscard]] std::size_t closing_connections() const noexcept;
+
     /// The number of open connections.
     [[nodiscard]] std::size_t open_connections() const noexcept;
 
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -140,6 +140,22 @@
     CHECK(test.m_server->busy_connections() == 0);
 }
 
+TEST_CASE("a connection counts as closing until its client has closed it")
+{
+    fixture test;
+    test.m_ready["/1"] = true;
+    test.m_server->begin_drain();
+    test.send("/1");
+    CHECK_FALSE(test.read().empty());
+    CHECK(test.m_server->closing_connections() == 1);
+    test.m_server->close_idle();
+    CHECK(test.m_server->open_connections() == 1);
+    test.m_client.close();
+    test.wait();
+    CHECK(test.m_server->closing_connections() == 0);
+    CHECK(test.m_server->open_connections() == 0);
+}
+
 // Otherwise the client does not send its next request elsewhere.
 TEST_CASE("a draining server announces the close although it answers at once")
 {
--- a/src/libhibiscustide/net/mesh/frame_stream.cpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -114,6 +114,12 @@
     return m_writing;
 }
 
+bool frame_stream::is_flushed()
+{
+    return !m_open ||
+           (!m_writing && unconfirmed_bytes(m_socket.native_handle()) == 0);
+}
+
 core::time_point frame_stream::last_received_at() const noexcept
 {
     return m_last_received_at;
--- a/src/libhibiscustide/net/mesh/frame_stream.hpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.hpp
@@ -59,6 +59,10 @@
     /// Whether queued bytes have not been passed to the kernel yet.
     [[nodiscard]] bool has_unsent() const noexcept;
 
+    /// Whether the peer's kernel has confirmed all queued bytes; true if the
+    /// stream is closed.
+    [[nodiscard]] bool is_flushed();
+
     /// When bytes were last received; at first, when the stream was created.
     [[nodiscard]] core::time_point last_received_at() const noexcept;
 
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -43,6 +43,8 @@
 {
     std::shared_ptr<frame_stream> m_stream;
     std::uint64_t m_incarnation = 0; ///< Of the sender; 0 before its hello.
+    /// Whether a result was sent since the stream was last seen as flushed.
+    bool m_has_unsent_result = false;
 };
 
 peer_server::peer_server(
@@ -73,6 +75,20 @@
     return std::nullopt;
 }
 
+// Pings and their answers keep a connection from being idle, so a connection
+// counts as flushed for good once it was flushed after its last result.
+std::size_t peer_server::unsent_results()
+{
+    std::size_t count = 0;
+    for (auto const& [incarnation, each] : m_sessions)
+    {
+        each->m_has_unsent_result =
+            each->m_has_unsent_result && !each->m_stream->is_flushed();
+        count += each->m_has_unsent_result ? 1 : 0;
+    }
+    return count;
+}
+
 awaitable<void> peer_server::accept_loop()
 {
     while (m_acceptor.is_open())
@@ -330,6 +346,7 @@
     if (it != m_sessions.end())
     {
         it->second->m_stream->send(result);
+        it->second->m_has_unsent_result = true;
     }
     state.m_result = std::move(result);
 }
--- a/src/libhibiscustide/net/mesh/peer_server.hpp
+++ b/src/libhibiscustide/net/mesh/peer_server.hpp
@@ -56,6 +56,9 @@
     /// if the listener cannot be opened.
     [[nodiscard]] std::optional<std::string> start();
 
+    /// Number of connections on which a result has not reached the sender yet.
+    [[nodiscard]] std::size_t unsent_results();
+
 private:
     struct session;
     using session_ptr = std::shared_ptr<session>;
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -253,7 +253,8 @@
     auto const count = [this]() -> awaitable<std::size_t>
     {
         co_return m_caller_server->busy_connections() +
-            m_gate.active_requests();
+            m_caller_server->closing_connections() + m_gate.active_requests() +
+            m_peer_server.unsent_results();
     };
     co_return co_await asio::co_spawn(m_context, count(), asio::use_awaitable);
 }
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -93,8 +93,9 @@
     /// Closes the callers' connections that have no request in progress.
     void close_idle();
 
-    /// Number of callers' connections with a request in progress plus requests
-    /// that wait or run at the local target.
+    /// Number of callers' connections with a request in progress or an answer
+    /// on its way, plus requests that wait or run at the local target, plus
+    /// connections of peers with results on their way.
     awaitable<std::size_t> active_count();
 
     /// State dump for the administration endpoint.
--- a/src/libhibiscustide/net/socket.cpp
+++ b/src/libhibiscustide/net/socket.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -54,6 +55,13 @@
     return peek(descriptor) > 0;
 }
 
+std::size_t unconfirmed_bytes(int descriptor) noexcept
+{
+    int bytes = 0;
+    bool const is_available = ::ioctl(descriptor, TIOCOUTQ, &bytes) == 0;
+    return is_available && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 bool is_idle(int descriptor) noexcept
 {
     return peek(descriptor) < 0 && would_block();
--- a/src/libhibiscustide/net/socket.hpp
+++ b/src/libhibiscustide/net/socket.hpp
@@ -25,6 +25,10 @@
 /// Whether data has arrived that has not been read.
 [[nodiscard]] bool has_unread_data(int descriptor) noexcept;
 
+/// Number of bytes that were passed to the kernel and that the peer's kernel
+/// has not confirmed; 0 if it is not available.
+[[nodiscard]] std::size_t unconfirmed_bytes(int descriptor) noexcept;
+
 /// Whether the connection is open and has no unread data. Only then can an idle
 /// connection be used for a request.
 [[nodiscard]] bool is_idle(int descriptor) noexcept;
