Derive the stop limit from the grace period

What callers saw: nothing so far. All deployments at hand have a grace period of 6 s, and the default stop limit is 5.3 s.

Cause: the stop limit was a constant that no template set. With a grace period of 5 s, the process would be killed with all its requests before its own limit. With 10 s, it would end requests long before it has to.

The time for which a stopping node keeps accepting connections is shortened if the limit needs it. Without grace-s, stop-limit-ms applies.

Evidence: "the stop limit follows the grace period" and "a node exits before the end of the grace period, but ends requests only in its last sixth" pass; they use the new setting and did not compile before.

--- a/src/include/hibiscustide/core/admission/stop_window.hpp
+++ b/src/include/hibiscustide/core/admission/stop_window.hpp
@@ -14,6 +14,12 @@
 /// their way from the target through another node to the caller.
 inline constexpr std::chrono::milliseconds last_answers_time{150};
 
+/// Latest time from the signal to stop to the exit, if the process is killed
+/// after the grace period. Leaves room for the exit of a process that gets
+/// little processor time, but less than a sixth of the period together with
+/// last_answers_time: targets may be at work until then.
+[[nodiscard]] duration stop_limit_for(duration grace_period) noexcept;
+
 /// A request ends within its expected time multiplied by this number, as a
 /// rule.
 inline constexpr double work_variation = 1.5;
--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -40,6 +40,7 @@
     std::string m_retry_window_s = "10";
     std::string m_retry_slack = "10";
     std::string m_stop_limit_ms = "5300";
+    std::string m_grace_s; ///< If not empty, determines the stop limit.
     std::string m_link_mbps = "1000";
 };
 
--- a/src/libhibiscustide/core/admission/stop_window_test.cpp
+++ b/src/libhibiscustide/core/admission/stop_window_test.cpp
@@ -5,6 +5,7 @@
 using namespace std::chrono_literals;
 using hibiscustide::core::time_point;
 using hibiscustide::core::admission::last_answers_time;
+using hibiscustide::core::admission::stop_limit_for;
 using hibiscustide::core::admission::stop_window;
 
 namespace
@@ -41,6 +42,18 @@
     CHECK_FALSE(stopping.may_start(1ms, start + 4'999ms, start + 5s));
 }
 
+TEST_CASE("a node exits before the end of the grace period, but ends requests "
+          "only in its last sixth")
+{
+    for (auto const grace : {3s, 4s, 6s, 10s, 30s})
+    {
+        stop_window const window{.m_exit = start + stop_limit_for(grace)};
+        CHECK(window.m_exit <= start + grace - 300ms);
+        CHECK(window.last_end() >= start + grace * 5 / 6);
+    }
+    CHECK(stop_limit_for(6s) == 5'300ms);
+}
+
 TEST_CASE("the last end of a request leaves time for its answer")
 {
     CHECK(stopping.last_end() == start + 5s);
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <string_view>
 
+#include <hibiscustide/core/admission/stop_window.hpp>
 #include <hibiscustide/core/config/setting_checker.hpp>
 
 namespace hibiscustide::core::config
@@ -22,6 +23,7 @@
 constexpr bounds<std::uint64_t> reuse_s_bounds{0, 3'600};
 constexpr bounds<std::uint64_t> stop_ms_bounds{0, 600'000};
 constexpr bounds<std::uint64_t> port_bounds{1, 65'535};
+constexpr bounds<double> grace_s_bounds{0.0, 600.0};
 constexpr bounds<double> ratio_bounds{0.0, 1.0};
 constexpr bounds<double> overage_bounds{0.1, 10.0};
 constexpr bounds<double> slack_bounds{0.0, 1e6};
@@ -72,6 +74,22 @@
     return seeds;
 }
 
+// The time from the signal to the exit. The grace period takes precedence.
+std::chrono::milliseconds read_stop_limit(
+    setting_checker& checker, mesh_settings_text const& text)
+{
+    std::chrono::milliseconds const limit{checker.whole_number(
+        "--stop-limit-ms", text.m_stop_limit_ms, stop_ms_bounds)};
+    if (text.m_grace_s.empty())
+    {
+        return limit;
+    }
+    std::chrono::duration<double> const grace{
+        checker.real_number("--grace-s", text.m_grace_s, grace_s_bounds)};
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        admission::stop_limit_for(std::chrono::duration_cast<duration>(grace)));
+}
+
 } // namespace
 
 value_or_errors<mesh_settings> check_settings(mesh_settings_text const& text)
@@ -115,8 +133,7 @@
             "--retry-window-s", text.m_retry_window_s, window_s_bounds)},
         .m_retry_slack = checker.real_number(
             "--retry-slack", text.m_retry_slack, slack_bounds),
-        .m_stop_limit = milliseconds{checker.whole_number(
-            "--stop-limit-ms", text.m_stop_limit_ms, stop_ms_bounds)},
+        .m_stop_limit = read_stop_limit(checker, text),
         .m_link_mbps = checker.real_number(
             "--link-mbps", text.m_link_mbps, link_mbps_bounds)};
     auto const peer =
--- a/src/libhibiscustide/core/config/mesh_settings_test.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings_test.cpp
@@ -34,6 +34,24 @@
     CHECK(settings.m_retry_ratio == doctest::Approx(0.2));
 }
 
+// With a fixed stop limit, a shorter grace period would kill the node while it
+// still serves.
+TEST_CASE("the stop limit follows the grace period")
+{
+    auto const stop_limit_of = [](std::string const& grace_s)
+    {
+        auto text = make_text();
+        text.m_grace_s = grace_s;
+        auto const checked = config::check_settings(text);
+        REQUIRE(std::holds_alternative<config::mesh_settings>(checked));
+        return std::get<config::mesh_settings>(checked).m_stop_limit;
+    };
+    CHECK(stop_limit_of("").count() == 5'300);
+    CHECK(stop_limit_of("6").count() == 5'300);
+    CHECK(stop_limit_of("4").count() < 3'700);
+    CHECK(stop_limit_of("10").count() == 9'300);
+}
+
 TEST_CASE("every invalid mesh setting is reported")
 {
     auto text = make_text();
--- a/src/libhibiscustide/net/mesh/graceful_stop.cpp
+++ b/src/libhibiscustide/net/mesh/graceful_stop.cpp
@@ -1,5 +1,7 @@
 #include "net/mesh/graceful_stop.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -24,6 +26,9 @@
 constexpr milliseconds idle_grace{250};
 constexpr milliseconds check_interval{20};
 
+// Time for requests that arrive at the end of a short notice.
+constexpr milliseconds min_time_after_notice{600};
+
 awaitable<void> pause(core::duration span)
 {
     asio::steady_timer timer{co_await asio::this_coro::executor, span};
@@ -37,7 +42,9 @@
 {
     core::admission::stop_window const window{.m_exit = limit};
     traffic.begin_drain(window);
-    co_await pause(drain_notice);
+    core::duration const longest_notice =
+        limit - clock_now() - min_time_after_notice;
+    co_await pause(std::min<core::duration>(drain_notice, longest_notice));
     traffic.stop_accepting();
     co_await pause(idle_grace);
     traffic.close_idle();
