--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -86,7 +86,8 @@
     std::map<std::uint64_t, std::shared_ptr<cancel_scope>> m_scopes;
     bool m_reading = false; ///< A request has begun to arrive.
     bool m_writing = false;
-    bool m_closing = false; ///< No further request is read.
+    bool m_discarding = false; ///< The peer may still read the last response.
+    bool m_closing = false;    ///< No further request is read.
 };
 
 // Reads and discards input for a short time. Closing a socket with unread input
@@ -178,7 +179,7 @@
     m_stopped = true;
     for (auto const& connection : m_sessions)
     {
-        if (connection->is_busy())
+        if (connection->is_busy() || connection->m_discarding)
         {
             continue;
         }
@@ -204,6 +205,17 @@
     return static_cast<std::size_t>(count);
 }
 
+std::size_t http_server::closing_connections() const noexcept
+{
+    auto const is_closing = [](session_ptr const& connection)
+    {
+        return connection->m_discarding;
+    };
+    auto const count =
+        std::count_if(m_sessions.begin(), m_sessions.end(), is_closing);
+    return static_cast<std::size_t>(count);
+}
+
 std::size_t http_server::open_connections() const noexcept
 {
     return m_sessions.size();
@@ -260,7 +272,9 @@
         auto const oldest = clock_now() - m_options.m_idle_timeout;
         for (auto const& connection : m_sessions)
         {
-            if (!connection->is_busy() && connection->m_last_active < oldest)
+            bool const is_in_use =
+                connection->is_busy() || connection->m_discarding;
+            if (!is_in_use && connection->m_last_active < oldest)
             {
                 connection->m_stream.close();
             }
@@ -285,6 +299,7 @@
     beast::error_code ignored;
     connection->m_stream.socket().shutdown(
         asio::ip::tcp::socket::shutdown_send, ignored);
+    connection->m_discarding = true;
     co_await discard_input(*connection);
     connection->m_stream.close();
     m_sessions.erase(connection);
@@ -343,6 +358,8 @@
     }
     auto& request = std::get<http_request>(read);
     bool const keep_alive = request.keep_alive();
+    // The response may be written before the next statement runs.
+    connection->m_reading = false;
     start_response(connection, std::move(request), nullptr);
     co_return keep_alive;
 }
@@ -371,6 +388,7 @@
             reject(connection, status_for_read_error(body_error));
             co_return false;
         }
+        connection->m_reading = false;
         start_response(connection, std::move(request), nullptr);
         co_return keep_alive;
     }
@@ -558,7 +576,7 @@
         // so that every request that has been read gets a response.
         bool const is_last = connection->pending_responses() == 1 &&
                              !connection->m_reading &&
-                             connection->m_buffer.size() == 0;
+                             (m_stopped || connection->m_buffer.size() == 0);
         if (m_draining && is_last)
         {
             response.keep_alive(false);
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -53,6 +53,8 @@
     bool m_is_current = false;       ///< Whether requests are accepted on it.
     std::uint64_t m_number = 0; ///< Of the sender's connections to this node.
     std::string m_node;         ///< Address of the sender.
+    /// Whether a result was sent since the stream was last seen as flushed.
+    bool m_has_unsent_result = false;
 };
 
 peer_server::peer_server(
@@ -83,6 +85,20 @@
     return std::nullopt;
 }
 
+// Pings and their answers keep a connection from being idle, so a connection
+// counts as flushed for good once it was flushed after its last result.
+std::size_t peer_server::unsent_results()
+{
+    std::size_t count = 0;
+    for (auto const& [incarnation, each] : m_sessions)
+    {
+        each->m_has_unsent_result =
+            each->m_has_unsent_result && !each->m_stream->is_flushed();
+        count += each->m_has_unsent_result ? 1 : 0;
+    }
+    return count;
+}
+
 awaitable<void> peer_server::accept_loop()
 {
     while (m_acceptor.is_open())
@@ -374,6 +390,7 @@
     if (it != m_sessions.end())
     {
         it->second->m_stream->send(result);
+        it->second->m_has_unsent_result = true;
     }
     state.m_result = std::move(result);
 }
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -205,18 +205,29 @@
         });
 }
 
-void traffic_thread::begin_drain()
+void traffic_thread::begin_drain(core::admission::stop_window const& stop)
 {
     asio::post(
         m_context,
-        [this]
+        [this, stop]
         {
+            m_dispatcher.begin_stop(stop);
             m_gate.begin_drain();
             m_status_exchange.send_to_all();
             m_caller_server->begin_drain();
         });
 }
 
+void traffic_thread::end_running()
+{
+    asio::post(
+        m_context,
+        [this]
+        {
+            m_gate.end_running();
+        });
+}
+
 void traffic_thread::stop_accepting()
 {
     asio::post(
@@ -242,7 +253,8 @@
     auto const count = [this]() -> awaitable<std::size_t>
     {
         co_return m_caller_server->busy_connections() +
-            m_gate.active_requests();
+            m_caller_server->closing_connections() + m_gate.active_requests() +
+            m_peer_server.unsent_results();
     };
     co_return co_await asio::co_spawn(m_context, count(), asio::use_awaitable);
 }
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -78,9 +78,14 @@
         std::function<void(core::directory::item_changes)> const& send_reply,
         core::directory::item_changes changes);
 
-    /// Refuses new requests to the local target. Callers are still served, but
-    /// their connections are closed after the next response.
-    void begin_drain();
+    /// Refuses new and waiting requests to the local target. Callers are still
+    /// served as far as their requests can end in time, but their connections
+    /// are closed after the next response.
+    void begin_drain(core::admission::stop_window const& stop);
+
+    /// Reports the requests at which the local target is still at work as
+    /// possibly run.
+    void end_running();
 
     /// Stops accepting callers' connections.
     void stop_accepting();
@@ -88,8 +93,9 @@
     /// Closes the callers' connections that have no request in progress.
     void close_idle();
 
-    /// Number of callers' connections with a request in progress plus requests
-    /// that wait or run at the local target.
+    /// Number of callers' connections with a request in progress or an answer
+    /// on its way, plus requests that wait or run at the local target, plus
+    /// connections of peers with results on their way.
     awaitable<std::size_t> active_count();
 
     /// State dump for the administration endpoint.
