HTTP client: a head that contains two status lines is no response

Callers saw 503 for requests that a target had run, and a request that must not repeat ran twice, if a target sent the first bytes of an earlier refusal once more and then the answer.

Cause: if the copy ended in its reason or in the value of a field, the parser took the answer's status line for the rest of that text. The head then had the status of the refusal, its field that states that the request did not run, and the id of the answer.

Change: read_response fails with bad_value if the reason or a field of a response contains the start of a status line. The connection is closed and the request may have run. If the copy ends elsewhere, the parser has always reported an error.

--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -1,5 +1,6 @@
 #include "net/http_io.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -40,6 +41,45 @@
     co_return parser.release();
 }
 
+// Whether the text contains the start of a status line.
+bool contains_status_line(beast::string_view text)
+{
+    static constexpr beast::string_view version = "HTTP/1.";
+    constexpr std::size_t minor_and_space = 2;
+    auto const is_digit_at = [text](std::size_t position)
+    {
+        return position < text.size() && text[position] >= '0' &&
+               text[position] <= '9';
+    };
+    auto position = text.find(version);
+    while (position != beast::string_view::npos)
+    {
+        auto const minor = position + version.size();
+        if (is_digit_at(minor) && is_digit_at(minor + minor_and_space) &&
+            text[minor + 1] == ' ')
+        {
+            return true;
+        }
+        position = text.find(version, minor);
+    }
+    return false;
+}
+
+// Whether the head consists of the beginning of one response and of another
+// response, so that the status belongs to one and other fields to the other. A
+// server that stops within a head and goes on with the next response on the
+// connection sends such a head.
+bool has_two_status_lines(http_response const& response)
+{
+    return contains_status_line(response.reason()) ||
+           std::any_of(
+               response.begin(), response.end(),
+               [](auto const& each)
+               {
+                   return contains_status_line(each.value());
+               });
+}
+
 } // namespace
 
 awaitable<beast::error_code> wait_for_data(
@@ -182,7 +222,12 @@
             co_return beast::error_code{http::error::body_limit};
         }
     }
-    co_return parser.release();
+    auto response = parser.release();
+    if (has_two_status_lines(response))
+    {
+        co_return beast::error_code{http::error::bad_value};
+    }
+    co_return response;
 }
 
 awaitable<write_result> write_request(
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -82,7 +82,8 @@
 /// Reads a complete response before `deadline`. `is_head` states that it is the
 /// response to a HEAD request and so has no body. Fails with
 /// `http::error::body_limit` if the body exceeds the limits or its share of a
-/// quota.
+/// quota, and with `http::error::bad_value` if the head contains a second
+/// status line.
 awaitable<std::variant<http_response, beast::error_code>> read_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, core::admission::buffer_quota::share& share,
