hibnode: a refusal of another attempt does not refuse this one

Callers saw 503 with the verdict not-run for a request that the target was running, if the target sent the refusal of an earlier attempt once more on a kept connection.

Cause: the gate looked at Target-Refused before it compared the attempt ids, so a refusal counted whatever its id was.

Change: the gate compares the ids first. A response with another id, refusal or not, gives may-have-run, and the idle connections are closed, as before for other responses. The simulated target echoes the attempt in refusals too.

Each attempt has a new id here, so a copy of an attempt's own refusal cannot match a second sending. A target may omit the id; a copy without an id is still taken as a refusal.

--- a/src/hibtarget/target_server.cpp
+++ b/src/hibtarget/target_server.cpp
@@ -41,10 +41,11 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
 }
 
-net::http_response refusal_reply(char const* reason)
+net::http_response refusal_reply(char const* reason, std::string_view attempt)
 {
     auto response = net::text_reply(status::service_unavailable, "not run\n");
     headers::set(response, headers::target_refused, reason);
+    headers::set(response, headers::attempt, attempt);
     return response;
 }
 
@@ -111,11 +112,11 @@
     }
     if (m_draining)
     {
-        co_return refusal_reply("draining");
+        co_return refusal_reply("draining", echoed_attempt(request));
     }
     if (m_faults.m_shed)
     {
-        co_return refusal_reply("shed");
+        co_return refusal_reply("shed", echoed_attempt(request));
     }
     co_return co_await run(request, scope);
 }
@@ -161,17 +162,22 @@
     auto response = net::text_reply(status::ok, std::move(body));
     auto const elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
         clock_now() - began_at);
-    auto const attempt = headers::value_of(request, headers::attempt);
     headers::set(response, call_id_header, id);
     headers::set(response, "Target", m_options.m_name);
     headers::set(
         response, service_time_header, std::to_string(elapsed.count()));
-    headers::set(
-        response, headers::attempt,
-        m_faults.m_wrong_attempt ? "other" : attempt);
+    headers::set(response, headers::attempt, echoed_attempt(request));
     co_return response;
 }
 
+std::string_view target_server::echoed_attempt(
+    net::http_request const& request) const
+{
+    return m_faults.m_wrong_attempt
+               ? "other"
+               : headers::value_of(request, headers::attempt);
+}
+
 net::http_response target_server::set_faults(net::http_request const& request)
 {
     core::field_errors errors;
--- a/src/hibtarget/target_server.hpp
+++ b/src/hibtarget/target_server.hpp
@@ -67,6 +67,8 @@
     net::awaitable<net::http_response> run(
         net::http_request& request,
         std::shared_ptr<net::cancel_scope> const& scope);
+    [[nodiscard]] std::string_view echoed_attempt(
+        net::http_request const& request) const;
     net::http_response set_faults(net::http_request const& request);
     [[nodiscard]] net::http_response health() const;
     [[nodiscard]] net::http_response load() const;
--- a/src/libhibiscustide/net/gate.cpp
+++ b/src/libhibiscustide/net/gate.cpp
@@ -291,6 +291,14 @@
         co_return result;
     }
     auto& response = std::get<http_response>(exchanged);
+    // A refusal of another attempt does not show that this one did not run.
+    if (answers_other_attempt(response, call.m_attempt))
+    {
+        m_counts.add(counter::answers_mismatched);
+        log_event(event::answer_mismatched, {{"attempt", call.m_attempt}});
+        target.close_idle();
+        co_return may_have_run_result(core::reason::answer_mismatched);
+    }
     auto const refused = headers::value_of(response, headers::target_refused);
     if (!refused.empty())
     {
@@ -301,13 +309,6 @@
         }
         co_return not_run_result(core::reason::target_refused);
     }
-    if (answers_other_attempt(response, call.m_attempt))
-    {
-        m_counts.add(counter::answers_mismatched);
-        log_event(event::answer_mismatched, {{"attempt", call.m_attempt}});
-        target.close_idle();
-        co_return may_have_run_result(core::reason::answer_mismatched);
-    }
     headers::remove_hop_by_hop(response);
     headers::remove_internal(response);
     co_return attempt_result{
