--- a/src/libhibiscustide/net/mesh/peer_link_test.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link_test.cpp
@@ -182,6 +182,25 @@
     CHECK(test.m_results.front().m_status == 200);
 }
 
+TEST_CASE("a second copy of a refusal does not refuse a second sending of the "
+          "request to the gate")
+{
+    fixture test;
+    auto const first = test.run(false);
+    test.wait(50ms);
+    test.m_gate.refuse(first);
+    test.wait(50ms);
+    auto const second = test.run(false);
+    test.m_gate.refuse(first);
+    test.wait(50ms);
+    test.m_gate.refuse(first);
+    test.m_gate.answer(second);
+    test.wait(50ms);
+    REQUIRE(test.m_results.size() == 2);
+    CHECK(test.m_results.front().m_outcome == mesh::outcome::not_run);
+    CHECK(test.m_results.back().m_outcome == mesh::outcome::answered);
+}
+
 TEST_CASE("after a gate restart, an earlier request may have run and a new "
           "request is answered")
 {
