Stop: the grace period counts from the arrival of the signal

Cause: the control thread was applying a configuration when the signal came, and began to count the stop limit 0.9 s late, so the process was killed before it had ended its requests.

A handler now records the arrival and passes the signal on; node_stopping has the delay.

--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -21,6 +21,7 @@
 #include "net/mesh/traffic_thread.hpp"
 #include "net/metrics.hpp"
 #include "net/replies.hpp"
+#include "net/stop_signal.hpp"
 
 namespace hibiscustide::net
 {
@@ -138,6 +139,7 @@
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
+    record_stop_signals();
     asio::co_spawn(m_context, wait_for_signals(), asio::detached);
     asio::co_spawn(m_context, flush_loop(), asio::detached);
     m_directory_sync.start();
@@ -295,10 +297,17 @@
 
 awaitable<void> mesh_node::implementation::shut_down()
 {
-    log_event(event::node_stopping);
+    // The grace period began when the signal arrived, not when this thread had
+    // time for it.
+    auto const now = clock_now();
+    auto const asked_at = stop_signal_time().value_or(now);
+    log_event(
+        event::node_stopping,
+        {{"late_ms",
+          std::chrono::duration_cast<milliseconds>(now - asked_at).count()}});
     m_draining = true;
     auto const unanswered = co_await mesh::stop_gracefully(
-        m_traffic, clock_now() + m_settings.m_stop_limit);
+        m_traffic, asked_at + m_settings.m_stop_limit);
     log_event(
         event::node_stopped, {{"cut", static_cast<std::int64_t>(unanswered)}});
     m_context.stop();
