--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -108,8 +108,8 @@
     history_lost = 503,
     /// A connection to a peer could not be opened.
     peer_unreachable = 510,
-    /// A peer with an open connection did not answer a ping in time; the
-    /// connection is closed.
+    /// A peer with an open connection did not answer a ping in time; another
+    /// connection is opened.
     peer_silent = 511,
     /// A peer that was silent answers again, on the same connection or on the
     /// one that replaces it.
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -30,9 +30,6 @@
 constexpr double retry_budget_share = 0.5;
 constexpr double retry_slack_share = 0.4;
 
-// Minimum interval between requests for changes: the time that a peer has to
-// respond before another one is asked.
-
 std::uint64_t random_incarnation()
 {
     std::random_device device;
