Stop: a request that comes long after the signal is refused, whatever the control thread does

The traffic thread now refuses, as not run, what arrives after the end of the notice, counted from the signal; so the caller goes to another node at once.

--- a/src/include/hibiscustide/core/admission/stop_window.hpp
+++ b/src/include/hibiscustide/core/admission/stop_window.hpp
@@ -28,11 +28,16 @@
 struct stop_window
 {
     time_point m_exit{}; ///< The process ends at this time.
+    /// Callers are directed to other nodes by this time.
+    time_point m_last_arrival = time_point::max();
 
     /// When every request must have ended, so that it is answered before the
     /// exit. Bounds the deadlines of requests.
     [[nodiscard]] time_point last_end() const noexcept;
 
+    /// Whether a request that arrives now may be passed on at all.
+    [[nodiscard]] bool accepts_at(time_point now) const noexcept;
+
     /// Whether a request that ends at its deadline, and probably takes
     /// `expected` from `now` on, may still be passed on. A request for which
     /// this is false must be refused before any target gets it.
--- a/src/libhibiscustide/core/admission/stop_window.cpp
+++ b/src/libhibiscustide/core/admission/stop_window.cpp
@@ -27,6 +27,11 @@
     return m_exit - last_answers_time;
 }
 
+bool stop_window::accepts_at(time_point now) const noexcept
+{
+    return now < m_last_arrival;
+}
+
 bool stop_window::may_start(
     duration expected, time_point deadline, time_point now) const noexcept
 {
--- a/src/libhibiscustide/core/admission/stop_window_test.cpp
+++ b/src/libhibiscustide/core/admission/stop_window_test.cpp
@@ -58,3 +58,12 @@
 {
     CHECK(stopping.last_end() == start + 5s);
 }
+
+TEST_CASE("a stopping node accepts requests until its callers are directed "
+          "elsewhere")
+{
+    stop_window const window{
+        .m_exit = start + 5s, .m_last_arrival = start + 3s};
+    CHECK(window.accepts_at(start + 2'999ms));
+    CHECK_FALSE(window.accepts_at(start + 3s));
+}
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -105,6 +105,13 @@
             status::service_unavailable, fields.m_attempt,
             core::reason::no_configuration, no_configuration_retry_after);
     }
+    auto const& stop = m_environment.m_stop;
+    if (stop && !stop->accepts_at(clock_now()))
+    {
+        co_return make_error_reply(
+            status::service_unavailable, fields.m_attempt,
+            core::reason::draining, unavailable_retry_after);
+    }
     auto* const entry = m_routes.find(
         to_string_view(request[field::host]), to_string_view(request.target()));
     if (entry == nullptr)
--- a/src/libhibiscustide/net/mesh/graceful_stop.cpp
+++ b/src/libhibiscustide/net/mesh/graceful_stop.cpp
@@ -38,9 +38,12 @@
 } // namespace
 
 awaitable<std::size_t> stop_gracefully(
-    traffic_thread& traffic, core::time_point limit)
+    traffic_thread& traffic, core::time_point asked_at, core::time_point limit)
 {
-    core::admission::stop_window const window{.m_exit = limit};
+    // This thread may run late, so the traffic thread applies these times.
+    core::admission::stop_window const window{
+        .m_exit = limit,
+        .m_last_arrival = asked_at + drain_notice + idle_grace};
     traffic.begin_drain(window);
     core::duration const longest_notice =
         limit - clock_now() - min_time_after_notice;
--- a/src/libhibiscustide/net/mesh/graceful_stop.hpp
+++ b/src/libhibiscustide/net/mesh/graceful_stop.hpp
@@ -14,12 +14,13 @@
 {
 
 /// Serves callers until they are directed to other nodes, and then waits until
-/// all requests have been answered, at most until `limit`. Requests that are
-/// not expected to end by then are refused, and those that do not end are
+/// all requests have been answered, at most until `limit`. Requests that arrive
+/// long after `asked_at`, the time of the signal to stop, or that are not
+/// expected to end by the limit are refused, and those that do not end are
 /// answered as possibly run. Returns the number of connections and requests
 /// that are still in progress. Readiness must have been withdrawn before.
 awaitable<std::size_t> stop_gracefully(
-    traffic_thread& traffic, core::time_point limit);
+    traffic_thread& traffic, core::time_point asked_at, core::time_point limit);
 
 } // namespace hibiscustide::net::mesh
 
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -307,7 +307,7 @@
           std::chrono::duration_cast<milliseconds>(now - asked_at).count()}});
     m_draining = true;
     auto const unanswered = co_await mesh::stop_gracefully(
-        m_traffic, asked_at + m_settings.m_stop_limit);
+        m_traffic, asked_at, asked_at + m_settings.m_stop_limit);
     log_event(
         event::node_stopped, {{"cut", static_cast<std::int64_t>(unanswered)}});
     m_context.stop();
