Ingress: connections that were accepted last are served although the thread was busy

Cause: the traffic thread was applying a configuration, and then accepted the last connections and closed the idle ones without running anything in between. Such a connection was also counted as busy until the stop limit.

Change: a marked connection is read although the server has stopped, and the grace for the clients that were accepted last begins when the traffic thread has accepted them. The new test in http_server_test failed before (no answer, one busy connection).

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -285,7 +285,8 @@
 awaitable<void> http_server::serve(session_ptr connection)
 {
     bool can_continue = true;
-    while (can_continue && !m_stopped && !connection->m_closing)
+    while (can_continue && (!m_stopped || connection->m_reading) &&
+           !connection->m_closing)
     {
         can_continue = co_await read_next(connection);
     }
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -140,6 +140,25 @@
     CHECK(test.m_server->busy_connections() == 0);
 }
 
+// A busy thread accepts the last connections and closes the idle ones without
+// running anything in between.
+TEST_CASE("a request on a connection that was accepted last is not lost when "
+          "idle connections are closed at once")
+{
+    fixture test;
+    asio::ip::tcp::socket late{test.m_context};
+    late.connect(net::to_asio({.m_address = address, .m_port = port}));
+    std::swap(late, test.m_client);
+    test.m_client.non_blocking(true);
+    test.send("/1");
+    test.m_ready["/1"] = true;
+    test.m_server->begin_drain();
+    test.m_server->stop_accepting();
+    test.m_server->close_idle();
+    CHECK(test.read().find("/1") != std::string::npos);
+    CHECK(test.m_server->busy_connections() == 0);
+}
+
 TEST_CASE("a connection counts as closing until its client has closed it")
 {
     fixture test;
--- a/src/libhibiscustide/net/mesh/graceful_stop.cpp
+++ b/src/libhibiscustide/net/mesh/graceful_stop.cpp
@@ -49,6 +49,9 @@
         limit - clock_now() - min_time_after_notice;
     co_await pause(std::min<core::duration>(drain_notice, longest_notice));
     traffic.stop_accepting();
+    // The traffic thread may run late, too: the clients that it has accepted
+    // last need the grace from then on.
+    static_cast<void>(co_await traffic.active_count());
     co_await pause(idle_grace);
     traffic.close_idle();
     auto remaining = co_await traffic.active_count();
