Logs: bytes of a target that are not its answer

The logs could not tell whether a target had sent a copy of another answer, bytes that are no response, or bytes behind an answer: a copy was skipped without a line, and the others looked like any broken connection. The event answer_discarded now gives the request and which of the three it was.

Evidence: a test of the pool for each reason. No decision changes.

--- a/src/libhibiscustide/core/observe/events.cpp
+++ b/src/libhibiscustide/core/observe/events.cpp
@@ -54,6 +54,7 @@
     {event::caller_left, level::info, "caller_left"},
     {event::attempt_placed, level::info, "attempt_placed"},
     {event::gate_refused, level::info, "gate_refused"},
+    {event::answer_discarded, level::warn, "answer_discarded"},
 });
 
 } // namespace
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -101,6 +101,20 @@
 
 } // namespace
 
+std::string_view to_string(discard_reason value) noexcept
+{
+    switch (value)
+    {
+    case discard_reason::other_request:
+        return "other-request";
+    case discard_reason::malformed:
+        return "malformed";
+    case discard_reason::surplus:
+        return "surplus";
+    }
+    return "";
+}
+
 struct connection_pool::connection
 {
     connection(asio::io_context& context, std::shared_ptr<std::size_t> open)
@@ -176,7 +190,7 @@
     }
     auto& response = std::get<http_response>(read);
     release_if_reusable(
-        std::move(used), id, response, write->m_done && !write->m_error);
+        std::move(used), request, response, write->m_done && !write->m_error);
     co_return std::move(response);
 }
 
@@ -212,7 +226,8 @@
             .m_sent = writer.has_sent(), .m_reason = reason_for(*error, scope)};
     }
     auto& response = std::get<http_response>(read);
-    release_if_reusable(std::move(used), id, response, writer.is_complete());
+    release_if_reusable(
+        std::move(used), header, response, writer.is_complete());
     co_return std::move(response);
 }
 
@@ -326,14 +341,22 @@
         auto read = co_await read_response(
             used.m_stream, used.m_buffer, m_options.m_limits, share, is_head,
             deadline);
+        if (auto const* const error = std::get_if<beast::error_code>(&read))
+        {
+            if (is_parse_error(*error))
+            {
+                report_discarded(request, discard_reason::malformed);
+            }
+            co_return *error;
+        }
         auto const* const response = std::get_if<http_response>(&read);
-        bool const is_match = response == nullptr ||
-                              !m_options.m_matches_request ||
+        bool const is_match = !m_options.m_matches_request ||
                               m_options.m_matches_request(request, *response);
         if (is_match)
         {
             co_return std::move(read);
         }
+        report_discarded(request, discard_reason::other_request);
         if (!response->keep_alive() || response->need_eof())
         {
             break;
@@ -393,12 +416,16 @@
 // belong to no request, or if the server responded before the whole request was
 // written, because it may read the rest as part of the next request.
 void connection_pool::release_if_reusable(
-    std::unique_ptr<connection> used, std::uint64_t request_id,
+    std::unique_ptr<connection> used, http_request const& request,
     http_response const& response, bool is_request_written)
 {
     if (m_options.m_is_refusal && m_options.m_is_refusal(response))
     {
-        used->m_refused.push_back(request_id);
+        used->m_refused.push_back(id_of(request));
+    }
+    if (used->m_buffer.size() > 0)
+    {
+        report_discarded(request, discard_reason::surplus);
     }
     bool const is_reusable = response.keep_alive() && !response.need_eof() &&
                              used->m_buffer.size() == 0 && is_request_written &&
@@ -411,6 +438,15 @@
     }
 }
 
+void connection_pool::report_discarded(
+    http_request const& request, discard_reason why) const
+{
+    if (m_options.m_on_discarded)
+    {
+        m_options.m_on_discarded(request, why);
+    }
+}
+
 void connection_pool::release(std::unique_ptr<connection> used)
 {
     used->m_idle_since = std::chrono::steady_clock::now();
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include <boost/asio/ip/address.hpp>
@@ -28,6 +29,16 @@
 namespace hibiscustide::net
 {
 
+/// Why bytes that a server sent are not the response to a request.
+enum class discard_reason
+{
+    other_request, ///< A whole response to another request; it is skipped.
+    malformed,     ///< Not a response in the protocol.
+    surplus,       ///< Bytes that follow the response.
+};
+
+[[nodiscard]] std::string_view to_string(discard_reason value) noexcept;
+
 struct connection_pool_options
 {
     core::endpoint m_remote;
@@ -54,6 +65,8 @@
     /// Identifier of a request, which is equal if the same request is sent
     /// again. Must be set if `m_is_refusal` is set.
     std::function<std::uint64_t(http_request const&)> m_request_id;
+    /// Called with the request during which bytes were discarded. May be empty.
+    std::function<void(http_request const&, discard_reason)> m_on_discarded;
 };
 
 /// Why an exchange returned no response, and whether any byte of the request
@@ -128,8 +141,10 @@
         connection& used, http_request const& request,
         core::time_point deadline);
     void release_if_reusable(
-        std::unique_ptr<connection> used, std::uint64_t request_id,
+        std::unique_ptr<connection> used, http_request const& request,
         http_response const& response, bool is_request_written);
+    void report_discarded(
+        http_request const& request, discard_reason why) const;
     void release(std::unique_ptr<connection> used);
     void close_expired(core::time_point now);
 
--- a/src/libhibiscustide/net/connection_pool_test.cpp
+++ b/src/libhibiscustide/net/connection_pool_test.cpp
@@ -489,6 +489,37 @@
     }
 }
 
+TEST_CASE("bytes that are not the response are reported with their reason")
+{
+    struct discarded_bytes
+    {
+        std::string m_reply;
+        net::discard_reason m_reason;
+    };
+    for (auto const& each :
+         {discarded_bytes{
+              answer_to("other") + answer_to("a"),
+              net::discard_reason::other_request},
+          discarded_bytes{"nonsense\r\n\r\n", net::discard_reason::malformed},
+          discarded_bytes{
+              answer_to("a") + "nonsense", net::discard_reason::surplus}})
+    {
+        CAPTURE(each.m_reply);
+        asio::io_context context;
+        scripted_server const server{context, {{{piece{each.m_reply}}}}};
+        auto options = refusable(server.address());
+        std::vector<net::discard_reason> reported;
+        options.m_on_discarded =
+            [&reported](net::http_request const&, net::discard_reason why)
+        {
+            reported.push_back(why);
+        };
+        net::connection_pool pool{context, options};
+        static_cast<void>(exchange(context, pool, "a"));
+        CHECK(reported == std::vector{each.m_reason});
+    }
+}
+
 namespace
 {
 
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -250,6 +250,14 @@
     co_return write_result{.m_error = error, .m_written = count};
 }
 
+bool is_parse_error(beast::error_code error) noexcept
+{
+    return error.category() ==
+               http::make_error_code(http::error::bad_field).category() &&
+           error != http::error::end_of_stream &&
+           error != http::error::partial_message;
+}
+
 status status_for_read_error(beast::error_code error) noexcept
 {
     if (error == http::error::header_limit)
@@ -264,12 +272,7 @@
     {
         return status::request_timeout;
     }
-    bool const parse_error =
-        error.category() ==
-            http::make_error_code(http::error::bad_field).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message;
-    return parse_error ? status::bad_request : status::unknown;
+    return is_parse_error(error) ? status::bad_request : status::unknown;
 }
 
 } // namespace hibiscustide::net
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -106,6 +106,10 @@
     beast::tcp_stream& stream, http_response const& response,
     core::duration timeout);
 
+/// Whether the bytes that were read are not a message in the protocol. The end
+/// of the connection within a message is no such error.
+[[nodiscard]] bool is_parse_error(beast::error_code error) noexcept;
+
 /// Returns the status of the response to a request that could not be read: 431,
 /// 413, 408 or 400. Returns `unknown` if the connection has ended, so that no
 /// response can be sent.
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -58,6 +58,11 @@
            {
                return core::hash_of(
                    wire_protocol.m_read_caller(request).m_attempt);
+           },
+           .m_on_discarded =
+               [this](http_request const& request, discard_reason why)
+           {
+               log_discarded(request, why);
            }}},
       m_probe_pool{
           context,
@@ -400,6 +405,16 @@
     done(std::move(result));
 }
 
+void target_gate::log_discarded(
+    http_request const& request, discard_reason why) const
+{
+    log_event(
+        event::answer_discarded,
+        {{"request", m_protocol.m_read_caller(request).m_attempt},
+         {"reason", to_string(why)},
+         {"instance", m_entry ? m_entry->m_instance : ""}});
+}
+
 void target_gate::release_slot(active_request const& active)
 {
     m_queue.finish(active.m_ticket, clock_now());
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -139,6 +139,7 @@
         run_request const& request, done_handler const& done,
         run_result&& result);
     void release_slot(active_request const& active);
+    void log_discarded(http_request const& request, discard_reason why) const;
     void refuse_queued(ticket which, core::reason why);
     void start_queued_requests();
     void on_body_changed(std::shared_ptr<active_request> const& active);
