Connection pool: a failed request does not use the same connection again

A late copy of a request's failure answered its second sending, if that used the same connection: the copy has the id of the request. The caller then got the status of the first run, although the target had answered the second one.

Cause: only refusals kept a connection from being used again for the same request; a failure did not, though a repeatable request may be sent again after it.

Change: the predicate of the pool covers each answer after which the request may be sent again, which at the gate are refusals and statuses from 500 on.

Evidence: the test gives status 500 in place of 200 before the change, with and without a pause; now 200.

--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -41,10 +41,10 @@
 // closed.
 constexpr int max_skipped_responses = 2;
 
-// Maximum number of refused requests that a connection keeps. The connection is
-// closed when it has that many, since none may be forgotten before the request
-// is no longer sent again.
-constexpr std::size_t max_refused_requests = 256;
+// Maximum number of answered requests that a connection keeps because they may
+// be sent again. The connection is closed when it has that many, since none may
+// be forgotten before the request is no longer sent again.
+constexpr std::size_t max_answered_requests = 256;
 
 // Number of requests whose late responses are recognised within the bodies of
 // others.
@@ -138,16 +138,16 @@
         --*m_open_count;
     }
 
-    [[nodiscard]] bool has_refused(std::uint64_t request_id) const
+    [[nodiscard]] bool has_answered(std::uint64_t request_id) const
     {
-        return std::find(m_refused.begin(), m_refused.end(), request_id) !=
-               m_refused.end();
+        return std::find(m_answered.begin(), m_answered.end(), request_id) !=
+               m_answered.end();
     }
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    /// Identifiers of the requests that the server has refused.
-    std::vector<std::uint64_t> m_refused;
+    /// Identifiers of the answered requests that may be sent again.
+    std::vector<std::uint64_t> m_answered;
     core::time_point m_idle_since;
     core::duration m_idle_timeout{};
     // Shared, because an exchange that is aborted at process exit may outlive
@@ -414,9 +414,8 @@
 }
 
 // Takes the most recently used connection first, so that surplus connections
-// stay idle until they expire. Skips those that have refused the same request:
-// a copy of the refusal would pass for the response, although the server runs
-// the request.
+// stay idle until they expire. Skips those on which the same request was
+// answered: a copy of that answer would pass for the response.
 std::unique_ptr<connection_pool::connection> connection_pool::acquire_idle(
     std::uint64_t request_id, core::duration max_idle)
 {
@@ -430,7 +429,7 @@
         {
             break;
         }
-        if ((*position)->has_refused(request_id))
+        if ((*position)->has_answered(request_id))
         {
             continue;
         }
@@ -467,9 +466,9 @@
     std::unique_ptr<connection> used, http_request const& request,
     http_response const& response, bool is_request_written)
 {
-    if (m_options.m_is_refusal && m_options.m_is_refusal(response))
+    if (m_options.m_is_repeatable && m_options.m_is_repeatable(response))
     {
-        used->m_refused.push_back(id_of(request));
+        used->m_answered.push_back(id_of(request));
     }
     if (used->m_buffer.size() > 0)
     {
@@ -477,7 +476,7 @@
     }
     bool const is_reusable = response.keep_alive() && !response.need_eof() &&
                              used->m_buffer.size() == 0 && is_request_written &&
-                             used->m_refused.size() < max_refused_requests;
+                             used->m_answered.size() < max_answered_requests;
     if (is_reusable)
     {
         used->m_idle_timeout =
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -59,13 +59,13 @@
     /// function is empty, every response is accepted.
     std::function<bool(http_request const&, http_response const&)>
         m_matches_request;
-    /// Whether a response refuses its request, so that the same request may be
-    /// sent again. It is not sent again on the same connection, because a copy
-    /// of the refusal cannot be distinguished from its response. If the
-    /// function is empty, no response is a refusal.
-    std::function<bool(http_response const&)> m_is_refusal;
+    /// Whether the same request may be sent again after this response. It is
+    /// not sent again on the same connection, because a copy of the response
+    /// cannot be distinguished from the next one. If the function is empty, no
+    /// request is sent again.
+    std::function<bool(http_response const&)> m_is_repeatable;
     /// Identifier of a request, which is equal if the same request is sent
-    /// again. Must be set if `m_is_refusal` or `m_response_id` is set.
+    /// again. Must be set if `m_is_repeatable` or `m_response_id` is set.
     std::function<std::uint64_t(http_request const&)> m_request_id;
     /// Identifier of the request that a response names; nothing if it names
     /// none. A response is not accepted if its body contains the head of a
--- a/src/libhibiscustide/net/connection_pool_test.cpp
+++ b/src/libhibiscustide/net/connection_pool_test.cpp
@@ -183,7 +183,7 @@
         {
             return request["Id"] == response["Id"];
         },
-        .m_is_refusal =
+        .m_is_repeatable =
             [](net::http_response const& response)
         {
             return response.result() == net::status::service_unavailable;
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -23,6 +23,8 @@
 
 constexpr milliseconds probe_idle_limit{5'000};
 
+constexpr unsigned min_failure_status = 500;
+
 // Health checks are answered without a body as a rule.
 constexpr std::size_t max_probe_body_bytes = 65'536;
 
@@ -48,10 +50,11 @@
                return wire_protocol.m_read_caller(request).m_attempt ==
                       wire_protocol.m_read_answer(answer).m_attempt;
            },
-           .m_is_refusal =
+           .m_is_repeatable =
                [&wire_protocol](http_response const& answer)
            {
-               return wire_protocol.m_read_answer(answer).m_not_run;
+               return wire_protocol.m_read_answer(answer).m_not_run ||
+                      answer.result_int() >= min_failure_status;
            },
            .m_request_id =
                [&wire_protocol](http_request const& request)
--- a/src/libhibiscustide/net/mixed_answers_test.cpp
+++ b/src/libhibiscustide/net/mixed_answers_test.cpp
@@ -197,10 +197,10 @@
         {
             return request["Id"] == response["Id"];
         },
-        .m_is_refusal =
+        .m_is_repeatable =
             [](net::http_response const& response)
         {
-            return response.result() == net::status::service_unavailable;
+            return response.result_int() >= 500;
         },
         .m_request_id =
             [](net::http_request const& request)
@@ -450,6 +450,37 @@
     check_all(mixtures);
 }
 
+// A request that had failed was sent to its target again. A copy of its first
+// answer has the id of the second sending.
+TEST_CASE("a late copy of a request's own failure does not answer its second "
+          "sending")
+{
+    std::vector<mixture> mixtures;
+    for (unsigned const status : {500U, 503U})
+    {
+        answer const first{.m_status = status, .m_id = "a", .m_body = body_one};
+        answer const second{.m_id = "a", .m_body = body_two};
+        for (auto const pause : {0ms, late})
+        {
+            mixtures.push_back(
+                {.m_name = "status " + std::to_string(status) + ", pause " +
+                           std::to_string(pause.count()),
+                 .m_replies = {
+                     {.m_id = "a",
+                      .m_pieces = {{first.to_bytes()}},
+                      .m_allowed = {first},
+                      .m_must_succeed = true},
+                     {.m_id = "a",
+                      .m_pieces =
+                          {{first.to_bytes(), pause},
+                           {second.to_bytes(), pause}},
+                      .m_allowed = {second},
+                      .m_must_succeed = true}}});
+        }
+    }
+    check_all(mixtures);
+}
+
 // The answer to a HEAD request has a length but no body.
 TEST_CASE("a late copy of an answer to a HEAD request, or before one, is not "
           "taken for the next answer")
