HTTP client: interim responses are skipped, not taken for the answer

Callers saw an answer with a status of 100 to 103 and no body if a target sent an interim response with the id of the request, and the final answer was then taken for bytes that belong to no request. An interim response without the id counted as a copy of another answer, and the third one ended the attempt.

Cause: read_response returned the first response, whatever its class.

Change: up to 16 interim responses before a response are skipped. 101 is not an interim response here, since no request asks for another protocol.

--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -45,6 +45,9 @@
 // Length of the start of a status line, such as "HTTP/1.1 2".
 constexpr std::size_t status_line_start = 10;
 
+// Number of interim responses that may precede a response.
+constexpr int max_interim_responses = 16;
+
 // Number of status lines within a body that are examined. A body that quotes
 // more of them is not searched further.
 constexpr std::size_t max_status_lines = 32;
@@ -123,6 +126,13 @@
     return start;
 }
 
+// No request asks for another protocol, so 101 is not an interim response here.
+bool is_interim(http_response const& response)
+{
+    return response.result_int() / 100 == 1 &&
+           response.result() != http::status::switching_protocols;
+}
+
 // Whether the head consists of the beginning of one response and of another
 // response, so that the status belongs to one and other fields to the other. A
 // server that stops within a head and goes on with the next response on the
@@ -255,16 +265,17 @@
     co_return error;
 }
 
-awaitable<std::variant<http_response, beast::error_code>> read_response(
+// Reads a response, which may be an interim one.
+static awaitable<std::variant<http_response, beast::error_code>>
+read_any_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, core::admission::buffer_quota::share& share,
-    bool is_head, core::time_point deadline)
+    bool is_head)
 {
     http::response_parser<http::string_body> parser;
     parser.skip(is_head);
     parser.header_limit(limits.m_max_header_bytes);
     parser.body_limit(limits.m_max_body_bytes);
-    stream.expires_at(deadline);
     while (!parser.is_done())
     {
         auto const [error, count] =
@@ -288,6 +299,25 @@
     co_return response;
 }
 
+awaitable<std::variant<http_response, beast::error_code>> read_response(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    message_limits const& limits, core::admission::buffer_quota::share& share,
+    bool is_head, core::time_point deadline)
+{
+    stream.expires_at(deadline);
+    for (int n = 0; n <= max_interim_responses; ++n)
+    {
+        auto read =
+            co_await read_any_response(stream, buffer, limits, share, is_head);
+        auto const* const response = std::get_if<http_response>(&read);
+        if (response == nullptr || !is_interim(*response))
+        {
+            co_return std::move(read);
+        }
+    }
+    co_return beast::error_code{http::error::bad_status};
+}
+
 embedded_responses find_embedded_responses(
     std::string_view body, std::string_view rest)
 {
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -81,7 +81,8 @@
 awaitable<beast::error_code> write_continue(
     beast::tcp_stream& stream, core::duration timeout);
 
-/// Reads a complete response before `deadline`. `is_head` states that it is the
+/// Reads a complete response before `deadline`; interim responses before it are
+/// skipped. `is_head` states that it is the
 /// response to a HEAD request and so has no body. Fails with
 /// `http::error::body_limit` if the body exceeds the limits or its share of a
 /// quota, and with `http::error::bad_value` if the head contains a second
--- a/src/libhibiscustide/net/mixed_answers_test.cpp
+++ b/src/libhibiscustide/net/mixed_answers_test.cpp
@@ -521,6 +521,35 @@
     check_all(mixtures);
 }
 
+// An interim response may have the id of its request.
+TEST_CASE("an interim response is not taken for the answer")
+{
+    answer const final_answer{.m_id = "a", .m_body = body_one};
+    std::vector<mixture> mixtures;
+    for (std::string const status :
+         {"100 Continue", "102 Processing", "103 Early Hints"})
+    {
+        for (std::string const fields : {"", "Id: a\r\nSeal: s\r\n"})
+        {
+            for (auto const pause : {0ms, late})
+            {
+                auto const interim =
+                    "HTTP/1.1 " + status + "\r\n" + fields + "\r\n";
+                mixtures.push_back(
+                    {.m_name = status + " " + fields,
+                     .m_replies = {
+                         {.m_id = "a",
+                          .m_pieces =
+                              {{interim + interim + interim},
+                               {final_answer.to_bytes(), pause}},
+                          .m_allowed = {final_answer},
+                          .m_must_succeed = true}}});
+            }
+        }
+    }
+    check_all(mixtures);
+}
+
 // The body of a whole answer may quote the heads of other answers.
 TEST_CASE("an answer whose body contains the head of a response to an unknown "
           "request is accepted")
