Answers to HEAD requests: no body, also in answers of the node itself

What callers saw: on a connection with a HEAD request that the node answered itself (no route, refused, failed, deadline), the text of the answer followed the head. A caller reads no body there, so these bytes were the beginning of the next answer on the connection.

Cause: the server prepared no length for a response to HEAD, but wrote the body that the handler had given it. Only answers of targets, which are read without a body, were right.

Change: the body of a response to HEAD is dropped before it is written. A length that a target gave stays (hibnode).

Evidence: the new test in http_server_test failed before (the second answer began with '/1'), and passes now.

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -541,7 +541,12 @@
     {
         body->abandon();
     }
-    if (!is_head)
+    if (is_head)
+    {
+        // A caller would take a body for the beginning of the next response.
+        response.body().clear();
+    }
+    else
     {
         response.prepare_payload();
     }
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -224,6 +224,25 @@
     CHECK(test.read().find(" 431 ") != std::string::npos);
 }
 
+// A caller reads no body after the head of such a response, so the bytes of a
+// body would be taken for the beginning of the next response.
+TEST_CASE("the response to a HEAD request has no body although its handler "
+          "gives it one")
+{
+    fixture test;
+    asio::write(
+        test.m_client,
+        asio::buffer(std::string{"HEAD /1 HTTP/1.1\r\nHost: x\r\n\r\n"}));
+    test.send("/2");
+    test.m_ready["/1"] = true;
+    test.m_ready["/2"] = true;
+    auto const text = test.read();
+    auto const first_end = text.find("\r\n\r\n");
+    REQUIRE(first_end != std::string::npos);
+    CHECK(text.substr(first_end + 4).starts_with("HTTP/1.1 200 OK\r\n"));
+    CHECK(text.ends_with("\r\n\r\n/2"));
+}
+
 // The next hop does not take the body, so that the client has to wait.
 TEST_CASE("a server stops reading a body while its handler does not use it")
 {
