A request behind an answer that could not be written is cancelled, also while it waits for its body

What callers saw: nothing; their targets worked on. A caller that left while a request with 'Expect: 100-continue' waited behind an earlier one kept that request and its connection in the node until the deadline of the request.

Cause: a connection is not read while a request on it waits for its turn to get the permission for its body. The failed write of the earlier answer ended the wait, but neither failed the body nor cancelled the requests behind that answer.

Change: the requests behind an answer that closes the connection are cancelled, and the body is failed.

Evidence: the new test in http_server_test failed before (body incomplete, scope not cancelled) and passes now.

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -451,6 +451,7 @@
     }
     if (body->is_abandoned() || connection->m_closing)
     {
+        body->fail(status::unknown);
         co_return false;
     }
     auto const error = co_await write_continue(
@@ -597,6 +598,7 @@
             // read.
             beast::error_code ignored;
             connection->m_closing = true;
+            connection->cancel_all();
             connection->m_stream.socket().shutdown(
                 asio::ip::tcp::socket::shutdown_send, ignored);
             connection->m_stream.socket().cancel(ignored);
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -280,3 +280,62 @@
     context.run_for(400ms);
     CHECK(body->is_abandoned());
 }
+
+// The connection is not read while the request waits for its turn, so only the
+// failed write of the earlier response shows that the client has left.
+TEST_CASE("a request that waits for its turn to get its body is cancelled when "
+          "its client has left")
+{
+    constexpr std::uint16_t streaming_port = 28'434;
+    asio::io_context context;
+    net::body_buffer_ptr awaited;
+    std::shared_ptr<net::cancel_scope> awaited_scope;
+    bool is_ready = false;
+    net::streaming_handler const handler =
+        [&](net::http_request& request, net::body_buffer_ptr const& body,
+            std::shared_ptr<net::cancel_scope> const& scope)
+        -> asio::awaitable<net::http_response>
+    {
+        asio::steady_timer timer{context};
+        if (request.target() == "/2")
+        {
+            awaited = body;
+            awaited_scope = scope;
+            awaited->want();
+        }
+        while (!is_ready)
+        {
+            timer.expires_after(2ms);
+            co_await timer.async_wait(net::no_throw);
+        }
+        if (request.target() == "/2")
+        {
+            timer.expires_after(10s);
+            co_await timer.async_wait(net::no_throw);
+        }
+        co_return net::text_reply(net::status::ok, "done\n");
+    };
+    auto const server = std::make_shared<net::http_server>(
+        context,
+        net::http_server_options{
+            .m_listen = {.m_address = address, .m_port = streaming_port},
+            .m_max_pipelined = 8},
+        handler, net::malformed_reply);
+    REQUIRE_FALSE(server->start());
+    asio::ip::tcp::socket client{context};
+    client.connect({asio::ip::make_address(address), streaming_port});
+    std::string const requests =
+        "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+        "POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+        "Expect: 100-continue\r\n\r\n";
+    asio::write(client, asio::buffer(requests));
+    context.run_for(50ms);
+    REQUIRE(awaited);
+    client.set_option(asio::socket_base::linger{true, 0});
+    client.close();
+    context.run_for(20ms);
+    is_ready = true;
+    context.run_for(50ms);
+    CHECK(awaited->current_state() == net::body_buffer::state::failed);
+    CHECK(awaited_scope->is_cancelled());
+}
