An interim response of a target is not passed on as its answer

What callers saw: a target's response with status 100, 101 or 103 and the id of the request was passed on as the answer. A caller goes on waiting after an interim response, and takes the next answer on its connection for the one to this request.

Cause: the gate took every response with the id of the request for its answer.

Change: the gate ends such a request as possibly run (502), and closes the idle connections to the target, since the answer may still follow on one of them.

--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -135,9 +135,17 @@
         return make_refusal(why, !fields.m_other_instance);
     }
     auto const status = response.result_int();
-    bool const is_success = status >= 200 && status < 300;
-    if (is_success && !fields.m_is_genuine)
+    // A caller that got an interim response would take the next answer on its
+    // connection for the one to this request.
+    bool const is_interim = status < 200;
+    bool const is_success = !is_interim && status < 300;
+    if (is_interim || (is_success && !fields.m_is_genuine))
     {
+        if (is_interim)
+        {
+            // The answer that follows on the connection belongs to no request.
+            m_pool.close_idle();
+        }
         record_outcome(active, target_outcome::failed);
         m_counts.add(counter::answers_mismatched);
         return {
