A request that a gate has failed is not sent to it again under a new entry of its node

What callers saw: nothing that was traced. A failed request could be sent to the same gate a second time with the same id, where a late copy of the first answer passes for the second one.

Cause: a call kept the gates that failed or refused it as pointers to their entries. The entry of a node without a status for three seconds is removed with its target, and a new one is created when the target registers again.

Change: they are compared by address.

Evidence: the new test in call_test failed before (two arrivals at the gate in place of one) and passes now.

--- a/src/libhibiscustide/net/mesh/call.cpp
+++ b/src/libhibiscustide/net/mesh/call.cpp
@@ -23,10 +23,16 @@
 // by this number, so that the caller can still retry in time.
 constexpr int placement_time_divisor = 8;
 
+// Compares addresses, since the entry of a node may have been created again.
 bool contains(
-    std::vector<node_entry const*> const& list, node_entry const* wanted)
+    std::vector<node_entry const*> const& list, node_entry const& wanted)
 {
-    return std::find(list.begin(), list.end(), wanted) != list.end();
+    return std::any_of(
+        list.begin(), list.end(),
+        [&wanted](node_entry const* each)
+        {
+            return each->m_address == wanted.m_address;
+        });
 }
 
 milliseconds to_milliseconds(core::duration span)
@@ -207,7 +213,7 @@
         now,
         [this](node_entry const& node)
         {
-            return contains(m_refused, &node) || contains(m_failed, &node);
+            return contains(m_refused, node) || contains(m_failed, node);
         });
     core::routing::request_needs const needs{
         .m_usual_work = m_options.m_usual_work,
@@ -446,7 +452,7 @@
     {
         return;
     }
-    if (!contains(m_failed, slow.m_node.get()))
+    if (!contains(m_failed, *slow.m_node))
     {
         m_failed.push_back(slow.m_node.get());
     }
@@ -509,7 +515,7 @@
         now,
         [this](node_entry const& node)
         {
-            return contains(m_refused, &node) || contains(m_failed, &node);
+            return contains(m_refused, node) || contains(m_failed, node);
         });
     auto const tie = static_cast<std::size_t>(m_environment.m_random());
     auto const position =
@@ -528,7 +534,7 @@
                 m_attempts.begin(), m_attempts.end(),
                 [&node](attempt const& each)
                 {
-                    return each.m_node.get() == &node;
+                    return each.m_node->m_address == node.m_address;
                 });
         });
     return core::routing::min_expected_cost(
--- a/src/libhibiscustide/net/mesh/call_test.cpp
+++ b/src/libhibiscustide/net/mesh/call_test.cpp
@@ -448,3 +448,45 @@
         }
     }
 }
+
+// The entry of a node without a recent status is removed with its target, and
+// another one is created when the target registers again. A late copy of the
+// first answer would pass for the answer to a second sending with the same id.
+TEST_CASE("a request that a gate has failed is not sent to it again after the "
+          "entry of its node was created again")
+{
+    // Removed at once, but not stale yet.
+    constexpr milliseconds status_age{3'200};
+    fixture test;
+    planned_gate failing{
+        test.m_context, first_gate,
+        [](auto const&)
+        {
+            return gate_plan{.m_status = 500};
+        }};
+    planned_gate refusing{
+        test.m_context, second_gate,
+        [](auto const&)
+        {
+            return gate_plan{
+                .m_outcome = mesh::outcome::not_run,
+                .m_reason = core::reason::draining,
+                .m_delay = 150ms};
+        }};
+    auto const both = make_directory({first_gate, second_gate});
+    test.m_nodes.set_directory(both);
+    test.report(first_gate, net::clock_now() - status_age);
+    test.report(second_gate, net::clock_now(), 32);
+    auto const ended = test.start("again-1", true, 3);
+    test.run_for(60ms);
+    REQUIRE(failing.arrivals_of("again-1") == 1);
+    REQUIRE(refusing.arrivals_of("again-1") == 1);
+    auto const first_entry = test.m_nodes.find(first_gate);
+    test.m_nodes.set_directory(make_directory({second_gate}));
+    test.m_nodes.set_directory(both);
+    REQUIRE(test.m_nodes.find(first_gate) != first_entry);
+    test.run_with_ticks(300ms);
+    CHECK(failing.arrivals_of("again-1") == 1);
+    REQUIRE(ended->m_results.size() == 1);
+    CHECK(ended->m_results.front().m_result.m_status == 500);
+}
