hibnode: an interim response of a target is not passed on as its answer

Cause: the gate took the first response for the answer, whatever its status.

Change: an interim response ends the attempt like an answer to another one, as possibly run.

--- a/src/libhibiscustide/net/gate.cpp
+++ b/src/libhibiscustide/net/gate.cpp
@@ -35,13 +35,16 @@
     return run_result::failed;
 }
 
-// Whether the response belongs to another attempt. A target may echo the
-// identifier of the attempt in its response.
-bool answers_other_attempt(
-    http_response const& response, std::string const& attempt)
+// Whether the response is the answer to the attempt. A target may echo the
+// identifier of the attempt in its response. An interim response is not passed
+// on, since a caller that got it would take the next answer on its connection
+// for the one to this request.
+bool is_answer_to(http_response const& response, std::string const& attempt)
 {
+    constexpr unsigned first_final_status = 200;
     auto const echoed = headers::value_of(response, headers::attempt);
-    return !echoed.empty() && echoed != attempt;
+    return response.result_int() >= first_final_status &&
+           (echoed.empty() || echoed == attempt);
 }
 
 } // namespace
@@ -292,7 +295,7 @@
     }
     auto& response = std::get<http_response>(exchanged);
     // A refusal of another attempt does not show that this one did not run.
-    if (answers_other_attempt(response, call.m_attempt))
+    if (!is_answer_to(response, call.m_attempt))
     {
         m_counts.add(counter::answers_mismatched);
         log_event(event::answer_mismatched, {{"attempt", call.m_attempt}});
