Directory: a node that has read once but relies on another reader does not report to be one

What callers saw: after a restart, the first change came into force up to 2.6 s late on both nodes of a failure domain.

Cause: the store took 0.8 s to list all items. The second node did not wait that long for the seed and read too; in the meantime the seed sent it the items, so it relied on the seed for its startup grace of 2.5 s. Its own read then made it report to be a reader. It has the higher rank, so the seed stopped reading: for 2.5 s, neither node read.

Change: a node reports to be a reader only while it selects itself as one.

--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -297,12 +297,15 @@
     {
         m_snapshot = std::move(snapshot);
     }
+    // A node that has read but relies on another reader must not report to be
+    // one: the other reader stops when it receives that status.
     directory_update update{
         .m_directory = m_snapshot,
         .m_revision = m_replica.revision(),
         .m_is_reader = m_failure_count == 0 &&
                        m_last_read_at + max_read_age > now &&
-                       m_last_read_at != core::time_point{},
+                       m_last_read_at != core::time_point{} &&
+                       m_reader_selection.should_read(now),
         .m_recovered = m_recovered_at + recovery_report_time > now &&
                        m_recovered_at != core::time_point{}};
     if (!(update == m_last_update))
