--- a/src/include/hibiscustide/core/endpoint.hpp
+++ b/src/include/hibiscustide/core/endpoint.hpp
@@ -25,6 +25,11 @@
 /// for any other text, including host names, which are not resolved.
 [[nodiscard]] std::optional<endpoint> parse_endpoint(std::string_view text);
 
+/// Whether a connection to the endpoint can reach exactly one machine: it has a
+/// port, and an address that is neither unspecified nor reserved nor that of a
+/// group of machines, nor valid on one link only.
+[[nodiscard]] bool is_connectable(endpoint const& value) noexcept;
+
 /// Formats an endpoint so that parse_endpoint can parse it.
 [[nodiscard]] std::string to_string(endpoint const& value);
 
--- a/src/libhibiscustide/core/endpoint.cpp
+++ b/src/libhibiscustide/core/endpoint.cpp
@@ -13,8 +13,10 @@
 
 bool is_ip_address(int family, std::string const& text)
 {
+    // inet_pton() reads up to the first zero byte.
+    bool const has_zero = text.find('\0') != std::string::npos;
     std::array<unsigned char, sizeof(in6_addr)> binary{};
-    return inet_pton(family, text.c_str(), binary.data()) == 1;
+    return !has_zero && inet_pton(family, text.c_str(), binary.data()) == 1;
 }
 
 std::optional<std::uint16_t> parse_port(std::string_view text)
@@ -54,6 +56,23 @@
     return endpoint{.m_address = std::move(address), .m_port = *port};
 }
 
+bool is_connectable(endpoint const& value) noexcept
+{
+    constexpr unsigned first_multicast_octet = 224;
+    auto const* const text = value.m_address.c_str();
+    in6_addr v6{};
+    if (inet_pton(AF_INET6, text, &v6) == 1)
+    {
+        return value.m_port != 0 && !IN6_IS_ADDR_UNSPECIFIED(&v6) &&
+               !IN6_IS_ADDR_MULTICAST(&v6) && !IN6_IS_ADDR_LINKLOCAL(&v6);
+    }
+    // The network 0 means this machine. The reserved networks and the address
+    // of a broadcast follow the multicast networks.
+    std::array<unsigned char, sizeof(in_addr)> octets{};
+    return inet_pton(AF_INET, text, octets.data()) == 1 && value.m_port != 0 &&
+           octets.front() != 0 && octets.front() < first_multicast_octet;
+}
+
 std::string to_string(endpoint const& value)
 {
     bool const is_ipv6 = value.m_address.find(':') != std::string::npos;
--- a/src/libhibiscustide/core/json_reader.cpp
+++ b/src/libhibiscustide/core/json_reader.cpp
@@ -55,6 +55,15 @@
     std::unique_ptr<Json::CharReader> const reader{builder.newCharReader()};
     Json::Value value;
     std::string message;
+    // jsoncpp takes a zero byte for the end of the text.
+    if (text.find('\0') != std::string_view::npos)
+    {
+        errors.push_back(
+            {.m_source = source,
+             .m_field = "(document)",
+             .m_reason = "contains a zero byte"});
+        return std::nullopt;
+    }
     // jsoncpp throws if the nesting is too deep. The exception is reported like
     // any other syntax error.
     try
