Directory: an entry of an unknown service does not hide the target at its address

What callers saw: requests to a service failed while an entry of a service that no configuration names was registered at its target's address with a later start.

Cause: find_by_address returned the latest entry whatever its service, so the target was no member of its service.

Change: entries of services that the configuration does not name are left out there; they count as soon as a configuration names their service.

--- a/src/include/hibiscustide/core/directory/directory.hpp
+++ b/src/include/hibiscustide/core/directory/directory.hpp
@@ -42,12 +42,15 @@
     /// Whether the target may get new requests.
     [[nodiscard]] bool is_in_service(target const& entry) const;
 
+    /// Whether the configuration names the target's service, or no service.
+    [[nodiscard]] bool has_known_service(target const& entry) const noexcept;
+
     /// Returns the target with this instance name, or null. The directory owns
     /// it.
     [[nodiscard]] target const* find(std::string_view instance) const noexcept;
 
-    /// Returns the most recently started target at the address, or null. The
-    /// directory owns it.
+    /// Returns the most recently started target with a known service at the
+    /// address, or null. The directory owns it.
     [[nodiscard]] target const* find_by_address(
         endpoint const& address) const noexcept;
 
--- a/src/libhibiscustide/core/directory/directory.cpp
+++ b/src/libhibiscustide/core/directory/directory.cpp
@@ -35,6 +35,12 @@
     return !entry.m_draining && !is_withdrawn(entry.m_failure_domain);
 }
 
+bool directory::has_known_service(target const& entry) const noexcept
+{
+    return m_config->m_services.empty() ||
+           find_service(*m_config, entry.m_service) != nullptr;
+}
+
 target const* directory::find(std::string_view instance) const noexcept
 {
     auto const it = std::lower_bound(
@@ -54,7 +60,7 @@
     {
         bool const is_later = latest == nullptr ||
                               entry.m_start_time_ms > latest->m_start_time_ms;
-        if (entry.m_address == address && is_later)
+        if (entry.m_address == address && is_later && has_known_service(entry))
         {
             latest = &entry;
         }
--- a/src/libhibiscustide/core/directory/directory_test.cpp
+++ b/src/libhibiscustide/core/directory/directory_test.cpp
@@ -33,6 +33,32 @@
     CHECK(state.snapshot()->config().m_version == 12);
 }
 
+// An entry of a service that no configuration names hid the target at the same
+// address.
+TEST_CASE("an entry of an unknown service does not replace the target at its "
+          "address")
+{
+    directory::directory_state state;
+    auto good = make_target("i-1");
+    good.m_service = "known";
+    auto odd = make_target("i-2");
+    odd.m_service = "unknown";
+    odd.m_start_time_ms = good.m_start_time_ms + 1;
+    state.put(good);
+    state.put(odd);
+    REQUIRE(good.m_address == odd.m_address);
+    state.put(directory::configuration{
+        .m_version = 1, .m_services = {{.m_name = "known"}}});
+    auto const before = state.snapshot();
+    REQUIRE(before->find_by_address(good.m_address) != nullptr);
+    CHECK(before->find_by_address(good.m_address)->m_instance == "i-1");
+    state.put(directory::configuration{
+        .m_version = 2,
+        .m_services = {{.m_name = "known"}, {.m_name = "unknown"}}});
+    auto const after = state.snapshot();
+    CHECK(after->find_by_address(good.m_address)->m_instance == "i-2");
+}
+
 TEST_CASE(
     "a target whose entry is removed without notice is kept for the grace "
     "period")
