Directory: an entry that cannot be read ends the use of the target under its key

What callers saw: after a bad write to a target's entry, nodes that had read the entry before sent requests to it without end, and nodes that started later none. With a revision of 2^64-1, even the removal of the entry had no effect.

Change: a rejected entry of a target has the effect of its removal, with the same grace period; a good write under the key restores the target.

Evidence: "an entry that is written after an odd one under its key is used, and an odd one ends the use of its key" failed on for each of its four writes (bytes, port, revision, removal after it) and passes.

--- a/src/include/hibiscustide/core/directory/change.hpp
+++ b/src/include/hibiscustide/core/directory/change.hpp
@@ -29,10 +29,13 @@
     bool m_withdrawn = true;
 };
 
-/// The item is invalid; the state before it stays in force.
+/// The item is invalid. A configuration before it stays in force.
 struct change_rejected
 {
     field_errors m_errors;
+    /// The target whose entry the item is; it is no longer registered. Empty if
+    /// the item is no entry of a target.
+    std::string m_instance;
 };
 
 /// The item does not affect routing.
