Events: bytes that are no UTF-8 are replaced in log lines

What callers saw: a log line that quotes such bytes, here of an entry of the store, was no valid JSON.

Cause: bytes from 0x80 on were written as they were.

Change: a byte that begins no UTF-8 sequence is written as \ufffd.

--- a/src/libhibiscustide/net/event_log.cpp
+++ b/src/libhibiscustide/net/event_log.cpp
@@ -1,5 +1,6 @@
 #include <hibiscustide/net/event_log.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <iterator>
@@ -56,13 +57,56 @@
 
 using line_buffer = fmt::basic_memory_buffer<char, 512>;
 
+// Length of the UTF-8 sequence at the start of the text; 0 if it is invalid.
+std::size_t sequence_length(std::string_view text)
+{
+    auto const byte = [text](std::size_t n)
+    {
+        return n < text.size() ? static_cast<unsigned char>(text[n]) : 0U;
+    };
+    auto const is_next = [byte](std::size_t n)
+    {
+        return (byte(n) & 0xc0U) == 0x80U;
+    };
+    auto const first = byte(0);
+    if (first < 0x80U)
+    {
+        return 1;
+    }
+    if (first >= 0xc2U && first < 0xe0U)
+    {
+        return is_next(1) ? 2 : 0;
+    }
+    // The second byte excludes overlong sequences, surrogates and numbers above
+    // the last code point.
+    auto const second = byte(1);
+    if (first >= 0xe0U && first < 0xf0U)
+    {
+        bool const is_excluded = (first == 0xe0U && second < 0xa0U) ||
+                                 (first == 0xedU && second >= 0xa0U);
+        return !is_excluded && is_next(1) && is_next(2) ? 3 : 0;
+    }
+    bool const is_excluded = first < 0xf0U || first > 0xf4U ||
+                             (first == 0xf0U && second < 0x90U) ||
+                             (first == 0xf4U && second >= 0x90U);
+    return !is_excluded && is_next(1) && is_next(2) && is_next(3) ? 4 : 0;
+}
+
+// Appends a JSON string. Bytes that are no UTF-8 are replaced, since the text
+// may come from another program.
 void append_string(line_buffer& line, std::string_view text)
 {
     constexpr unsigned char first_printable = 0x20;
     line.push_back('"');
-    for (auto const c : text)
+    while (!text.empty())
     {
-        if (c == '"' || c == '\\')
+        auto const c = text.front();
+        auto const length = sequence_length(text);
+        if (length == 0)
+        {
+            line.append(std::string_view{"\\ufffd"});
+        }
+        else if (c == '"' || c == '\\')
         {
             line.push_back('\\');
             line.push_back(c);
@@ -75,8 +119,9 @@
         }
         else
         {
-            line.push_back(c);
+            line.append(text.substr(0, length));
         }
+        text.remove_prefix(std::max<std::size_t>(length, 1));
     }
     line.push_back('"');
 }
