--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -46,6 +46,10 @@
 // is no longer sent again.
 constexpr std::size_t max_refused_requests = 256;
 
+// Number of requests whose late responses are recognised within the bodies of
+// others.
+constexpr std::size_t max_recent_requests = 512;
+
 // Subtracted from the idle timeout that a server announces, because a request
 // that is sent while the server closes the connection is lost.
 constexpr std::chrono::milliseconds idle_margin{1'000};
@@ -101,6 +105,22 @@
 
 } // namespace
 
+std::string_view to_string(discard_reason value) noexcept
+{
+    switch (value)
+    {
+    case discard_reason::other_request:
+        return "other-request";
+    case discard_reason::malformed:
+        return "malformed";
+    case discard_reason::surplus:
+        return "surplus";
+    case discard_reason::several_responses:
+        return "several-responses";
+    }
+    return "";
+}
+
 struct connection_pool::connection
 {
     connection(asio::io_context& context, std::shared_ptr<std::size_t> open)
@@ -160,6 +180,7 @@
     // The server may respond before it has read the whole request, so the
     // response is read while the request is being written.
     auto const write = std::make_shared<request_write>(request);
+    remember(id);
     used->m_stream.expires_at(deadline);
     begin_write(used->m_stream, write);
     auto read = co_await read_matching_response(*used, request, deadline);
@@ -176,7 +197,7 @@
     }
     auto& response = std::get<http_response>(read);
     release_if_reusable(
-        std::move(used), id, response, write->m_done && !write->m_error);
+        std::move(used), request, response, write->m_done && !write->m_error);
     co_return std::move(response);
 }
 
@@ -191,6 +212,7 @@
         co_return *failure;
     }
     auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
+    remember(id);
     used->m_stream.expires_at(deadline);
     body_writer writer{used->m_stream, body};
     asio::co_spawn(m_context, writer.run(header), asio::detached);
@@ -212,7 +234,8 @@
             .m_sent = writer.has_sent(), .m_reason = reason_for(*error, scope)};
     }
     auto& response = std::get<http_response>(read);
-    release_if_reusable(std::move(used), id, response, writer.is_complete());
+    release_if_reusable(
+        std::move(used), header, response, writer.is_complete());
     co_return std::move(response);
 }
 
@@ -326,14 +349,27 @@
         auto read = co_await read_response(
             used.m_stream, used.m_buffer, m_options.m_limits, share, is_head,
             deadline);
+        if (auto const* const error = std::get_if<beast::error_code>(&read))
+        {
+            if (is_parse_error(*error))
+            {
+                report_discarded(request, discard_reason::malformed);
+            }
+            co_return *error;
+        }
         auto const* const response = std::get_if<http_response>(&read);
-        bool const is_match = response == nullptr ||
-                              !m_options.m_matches_request ||
+        bool const is_match = !m_options.m_matches_request ||
                               m_options.m_matches_request(request, *response);
+        if (is_match && contains_other_response(used, *response))
+        {
+            report_discarded(request, discard_reason::several_responses);
+            break;
+        }
         if (is_match)
         {
             co_return std::move(read);
         }
+        report_discarded(request, discard_reason::other_request);
         if (!response->keep_alive() || response->need_eof())
         {
             break;
@@ -342,6 +378,41 @@
     co_return beast::error_code{beast::http::error::end_of_stream};
 }
 
+// Whether the body consists of the beginning of the response and of another
+// response, whose bytes filled up the announced length or came before the end
+// of the connection.
+bool connection_pool::contains_other_response(
+    connection& used, http_response const& response) const
+{
+    if (!m_options.m_response_id)
+    {
+        return false;
+    }
+    auto const rest = used.m_buffer.cdata();
+    auto const found = find_embedded_responses(
+        response.body(), {static_cast<char const*>(rest.data()), rest.size()});
+    auto const names_recent_request = [this](http_response const& head)
+    {
+        auto const id = m_options.m_response_id(head);
+        return id && std::find(
+                         m_recent_requests.begin(), m_recent_requests.end(),
+                         *id) != m_recent_requests.end();
+    };
+    return found.m_goes_on_behind ||
+           std::any_of(
+               found.m_heads.begin(), found.m_heads.end(),
+               names_recent_request);
+}
+
+void connection_pool::remember(std::uint64_t request_id)
+{
+    m_recent_requests.push_back(request_id);
+    if (m_recent_requests.size() > max_recent_requests)
+    {
+        m_recent_requests.pop_front();
+    }
+}
+
 // Takes the most recently used connection first, so that surplus connections
 // stay idle until they expire. Skips those that have refused the same request:
 // a copy of the refusal would pass for the response, although the server runs
@@ -393,12 +464,16 @@
 // belong to no request, or if the server responded before the whole request was
 // written, because it may read the rest as part of the next request.
 void connection_pool::release_if_reusable(
-    std::unique_ptr<connection> used, std::uint64_t request_id,
+    std::unique_ptr<connection> used, http_request const& request,
     http_response const& response, bool is_request_written)
 {
     if (m_options.m_is_refusal && m_options.m_is_refusal(response))
     {
-        used->m_refused.push_back(request_id);
+        used->m_refused.push_back(id_of(request));
+    }
+    if (used->m_buffer.size() > 0)
+    {
+        report_discarded(request, discard_reason::surplus);
     }
     bool const is_reusable = response.keep_alive() && !response.need_eof() &&
                              used->m_buffer.size() == 0 && is_request_written &&
@@ -411,6 +486,15 @@
     }
 }
 
+void connection_pool::report_discarded(
+    http_request const& request, discard_reason why) const
+{
+    if (m_options.m_on_discarded)
+    {
+        m_options.m_on_discarded(request, why);
+    }
+}
+
 void connection_pool::release(std::unique_ptr<connection> used)
 {
     used->m_idle_since = std::chrono::steady_clock::now();
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -9,7 +9,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
@@ -89,6 +91,21 @@
     message_limits const& limits, core::admission::buffer_quota::share& share,
     bool is_head, core::time_point deadline);
 
+/// What the body of a response contains of further responses.
+struct embedded_responses
+{
+    /// The heads that begin within the body.
+    std::vector<http_response> m_heads;
+    /// Whether one of the responses does not end in the body, and bytes follow
+    /// the body.
+    bool m_goes_on_behind = false;
+};
+
+/// Finds the heads of responses that begin within `body`. `rest` contains the
+/// bytes that have arrived behind it.
+[[nodiscard]] embedded_responses find_embedded_responses(
+    std::string_view body, std::string_view rest);
+
 /// The result of writing a message.
 struct write_result
 {
@@ -106,6 +123,10 @@
     beast::tcp_stream& stream, http_response const& response,
     core::duration timeout);
 
+/// Whether the bytes that were read are not a message in the protocol. The end
+/// of the connection within a message is no such error.
+[[nodiscard]] bool is_parse_error(beast::error_code error) noexcept;
+
 /// Returns the status of the response to a request that could not be read: 431,
 /// 413, 408 or 400. Returns `unknown` if the connection has ended, so that no
 /// response can be sent.
