Notes: a text that cannot be written again is rejected

Seen: the fuzzing of parse_note found a note whose predecessor contains the byte 0x80. It was accepted; the note that write_note made of it was not valid. Cause: of a digest only the length was checked, of a prefix only the first character, and the names of withdrawn items were not checked. Change: digests are hexadecimal, prefixes visible ASCII, withdrawn names are checked like all names.

--- a/src/libhibiscustide/core/release/note_codec.cpp
+++ b/src/libhibiscustide/core/release/note_codec.cpp
@@ -72,6 +72,26 @@
            std::all_of(text.begin(), text.end(), allowed);
 }
 
+bool is_valid_digest(std::string_view text)
+{
+    auto const is_digit = [](char c)
+    {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+    };
+    return text.size() == digest_length &&
+           std::all_of(text.begin(), text.end(), is_digit);
+}
+
+// A request target has no other characters.
+bool is_visible_ascii(std::string_view text)
+{
+    auto const is_visible = [](char c)
+    {
+        return c > ' ' && c <= '~';
+    };
+    return std::all_of(text.begin(), text.end(), is_visible);
+}
+
 std::string read_name(json_reader const& reader, char const* field)
 {
     auto name = reader.required_string(field);
@@ -102,6 +122,11 @@
     {
         reader.add_error("prefix", "must start with '/'");
     }
+    if (!is_visible_ascii(prefix))
+    {
+        reader.add_error(
+            "prefix", "must contain only visible ASCII characters");
+    }
     auto const text = reader.required_string("class");
     auto const found = parse_class(text);
     if (!text.empty() && !found)
@@ -203,10 +228,18 @@
 {
     auto const reader = note.object(name);
     reader.allow_only({"added", "changed", "withdrawn"});
+    auto withdrawn = reader.strings("withdrawn");
+    if (!std::all_of(withdrawn.begin(), withdrawn.end(), is_valid_name))
+    {
+        reader.add_error(
+            "withdrawn",
+            "must contain only names of a-z, 0-9, '-' and '.', at most 128 "
+            "characters");
+    }
     return {
         .m_added = read_specs<Spec>(reader, "added"),
         .m_changed = read_specs<Spec>(reader, "changed"),
-        .m_withdrawn = reader.strings("withdrawn")};
+        .m_withdrawn = std::move(withdrawn)};
 }
 
 void check_checkpoint(json_reader const& reader, release_note const& note)
@@ -230,7 +263,7 @@
     bool const first = note.m_revision == 1;
     if (note.m_checkpoint)
     {
-        if (note.m_digest.size() != digest_length)
+        if (!is_valid_digest(note.m_digest))
         {
             reader.add_error(
                 "digest", "must be a digest of 32 hexadecimal digits");
@@ -241,7 +274,7 @@
     {
         reader.add_error("predecessor", "must be empty for revision 1");
     }
-    if (!first && note.m_predecessor.size() != digest_length)
+    if (!first && !is_valid_digest(note.m_predecessor))
     {
         reader.add_error(
             "predecessor", "must be a digest of 32 hexadecimal digits");
--- a/src/libhibiscustide/core/release/note_codec_test.cpp
+++ b/src/libhibiscustide/core/release/note_codec_test.cpp
@@ -97,3 +97,28 @@
         errors_of(std::string(release::max_note_bytes + 1, ' ')) ==
         "n.json: (document): is larger than 1000000 bytes");
 }
+
+// Only the length of a digest was checked. A digest or a prefix with bytes that
+// are not UTF-8 was accepted, and the note that was written from it was not
+// valid JSON.
+TEST_CASE("a text that cannot be written again is rejected")
+{
+    std::string const digest = "9bdc1c4e430f3e8b3d51\x80"
+                               "48a5a07cea4";
+    CHECK(
+        errors_of(R"({"revision":2,"predecessor":")" + digest + "\"}") ==
+        "n.json: predecessor: must be a digest of 32 hexadecimal digits");
+    CHECK(
+        errors_of(
+            R"({"revision":2,"checkpoint":true,"digest":")" + digest + "\"}") ==
+        "n.json: digest: must be a digest of 32 hexadecimal digits");
+    CHECK(
+        errors_of(service_note("\"slots\":4,\"routes\":[{\"prefix\":\"/\x80\","
+                               "\"class\":\"live\"}]")) ==
+        "n.json: services.added[0].routes[0].prefix: must contain only visible "
+        "ASCII characters");
+    CHECK(
+        errors_of("{\"revision\":1,\"targets\":{\"withdrawn\":[\"\x80\"]}}") ==
+        "n.json: targets.withdrawn: must contain only names of a-z, 0-9, '-' "
+        "and '.', at most 128 characters");
+}
