Notes: a written retry_share is the same when it is read again

Seen: while the round trip of notes was fuzzed. A share of 0.123456789 was written as 0.123457, so that the written note differed from the one read, against the contract of write_note. Cause: numbers are written with six digits, and read with all of theirs. Change: parse_note rounds the share to a millionth. Texts of notes and their digests stay as they are. Evidence: the new test failed before and passes now.

--- a/src/libhibiscustide/core/release/note_codec.cpp
+++ b/src/libhibiscustide/core/release/note_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -162,6 +163,16 @@
     return routes;
 }
 
+// The share is rounded to the digits that write_note writes, so that a written
+// note has the same share.
+double read_retry_share(json_reader const& reader)
+{
+    constexpr double millionths = 1e6;
+    auto const share = reader.number_or(
+        "retry_share", default_retry_share, retry_share_bounds);
+    return std::round(share * millionths) / millionths;
+}
+
 std::uint32_t narrow(std::uint64_t value)
 {
     return static_cast<std::uint32_t>(value);
@@ -183,8 +194,7 @@
             narrow(reader.uint_or("connections", slots, connections_bounds)),
         .m_probe_cost = std::chrono::microseconds{reader.uint_or(
             "probe_cost_us", default_probe_cost_us, probe_cost_us_bounds)},
-        .m_retry_share = reader.number_or(
-            "retry_share", default_retry_share, retry_share_bounds),
+        .m_retry_share = read_retry_share(reader),
         .m_timeout = std::chrono::milliseconds{reader.uint_or(
             "timeout_ms", default_timeout_ms, timeout_ms_bounds)},
         .m_resend_horizon = std::chrono::seconds{reader.uint_or(
--- a/src/libhibiscustide/core/release/note_codec_test.cpp
+++ b/src/libhibiscustide/core/release/note_codec_test.cpp
@@ -122,3 +122,20 @@
         "n.json: targets.withdrawn: must contain only names of a-z, 0-9, '-' "
         "and '.', at most 128 characters");
 }
+
+// A share with more than six digits was written with six of them, so that the
+// written note had another value.
+TEST_CASE("a written share is the same when it is read again")
+{
+    auto const first = release::parse_note(
+        service_note(
+            std::string{R"("slots":8,"retry_share":0.123456789,)"} + routes),
+        "n.json");
+    REQUIRE(std::holds_alternative<release::release_note>(first));
+    auto const& note = std::get<release::release_note>(first);
+    auto const second =
+        release::parse_note(release::write_note(note), "n.json");
+    REQUIRE(std::holds_alternative<release::release_note>(second));
+    CHECK(
+        std::get<release::release_note>(second).m_services == note.m_services);
+}
