--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 lint: build
 	@run-clang-tidy-16 -quiet -p $(BUILD) -clang-tidy-binary clang-tidy-16 \
 	    -extra-arg=-Wno-unknown-warning-option \
-	    '(src|platform)/.*\.cpp$$' >$(BUILD)/lint.txt 2>&1 || \
+	    '(src|platform|testsuite)/.*\.cpp$$' >$(BUILD)/lint.txt 2>&1 || \
 	    { grep -E 'error:|warning:' $(BUILD)/lint.txt; exit 1; }
 
 # Simulates the region of the user `agencia` while a failure domain is withdrawn
--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -18,6 +18,11 @@
     $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>
     $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>
     $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
+if(HIBISCUSTIDE_FUZZ)
+    add_compile_options(-fsanitize=fuzzer-no-link,address,undefined
+        -fno-sanitize-recover=undefined)
+    add_link_options(-fsanitize=address,undefined)
+endif()
 find_program(CCACHE ccache)
 if(CCACHE)
     set(CMAKE_CXX_COMPILER_LAUNCHER "${CCACHE}")
