Restart: a starting node compares the items of the first seed with the others

Callers saw: a node that had just started could use a target that had left, a withdrawn route or a withdrawn failure domain. Cause: a starting node used the items of the first seed that replied, at once, and then relied on its peers for 2.5 s without reading the service. A seed that had been frozen or cut off, or had itself started from such a seed, sent an old state. The node used it until the status of a newer node arrived, which is sent every 0.4 s within a failure domain and every 1.5 s to others. Change: before the node uses the items, it asks up to three other seeds for what changed after them, which is a short reply, and waits for the replies for at most 100 ms. Open: a seed, and a node whose seeds reply after its wait, still use the first reply of a peer while the publishing service is away.

--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -40,6 +40,11 @@
 // Interval between requests to the seeds.
 constexpr milliseconds seed_query_interval{60};
 
+// Longest wait for the other seeds, of which some may be down, and the interval
+// at which their replies are counted.
+constexpr milliseconds comparison_timeout{100};
+constexpr milliseconds comparison_interval{5};
+
 constexpr milliseconds selection_check_interval{100};
 constexpr milliseconds expire_interval{100};
 constexpr milliseconds first_retry_delay{80};
@@ -82,6 +87,7 @@
 
 void directory_sync::on_changes(core::directory::item_changes const& changes)
 {
+    ++m_replies;
     apply(changes);
 }
 
@@ -104,6 +110,9 @@
 awaitable<void> directory_sync::read_loop()
 {
     co_await wait_for_seeds();
+    co_await compare_with_other_seeds();
+    m_may_notify = true;
+    notify_if_changed();
     while (true)
     {
         bool const has_items = m_replica.revision() > 0;
@@ -169,6 +178,25 @@
     }
 }
 
+// The first seed that has replied may be behind: it may have been cut off, or
+// frozen, or have started from such a seed itself. Its items may name targets
+// that have left and routes that were withdrawn, so they are not used before
+// the other seeds have sent what they have beyond them.
+awaitable<void> directory_sync::compare_with_other_seeds()
+{
+    if (m_options.m_is_seed || m_replica.revision() == 0)
+    {
+        co_return;
+    }
+    auto const expected = m_replies + m_options.m_other_seeds;
+    auto const deadline = clock_now() + comparison_timeout;
+    m_options.m_query_other_seeds(m_replica.revision());
+    while (m_replies < expected && clock_now() < deadline)
+    {
+        co_await pause(comparison_interval);
+    }
+}
+
 awaitable<void> directory_sync::expire_loop()
 {
     while (true)
@@ -291,6 +319,10 @@
 
 void directory_sync::notify_if_changed()
 {
+    if (!m_may_notify)
+    {
+        return;
+    }
     auto const now = clock_now();
     auto snapshot = m_state.snapshot();
     if (!(*snapshot == *m_snapshot))
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -4,6 +4,7 @@
 #ifndef HIBISCUSTIDE_NET_MESH_DIRECTORY_SYNC_HPP
 #define HIBISCUSTIDE_NET_MESH_DIRECTORY_SYNC_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -42,6 +43,10 @@
     /// Requests the published items from the seeds, the nodes that the settings
     /// name.
     std::function<void()> m_query_seeds;
+    /// Requests the changes after a revision from the other seeds.
+    std::function<void(std::uint64_t after)> m_query_other_seeds;
+    /// Number of other seeds that m_query_other_seeds asks.
+    std::size_t m_other_seeds = 0;
     /// Whether this node is a seed. A seed reads from the publishing service at
     /// once, and until it receives the status of a reader.
     bool m_is_seed = false;
@@ -88,6 +93,7 @@
 private:
     awaitable<void> read_loop();
     awaitable<void> wait_for_seeds();
+    awaitable<void> compare_with_other_seeds();
     awaitable<void> expire_loop();
     awaitable<void> pause(core::duration span);
     void on_read_succeeded(core::directory::item_changes const& changes);
@@ -110,6 +116,10 @@
     core::time_point m_last_failed_at{}; ///< When a read last failed.
     core::time_point m_recovered_at{};   ///< When the service last recovered.
     std::uint32_t m_failure_count = 0;
+    std::size_t m_replies = 0; ///< Changes that peers have sent.
+    /// Whether the state may be passed on. A starting node compares the items
+    /// of the first seed with the others before it uses them.
+    bool m_may_notify = false;
     bool m_history_lost = false;
 };
 
--- /dev/null
+++ b/src/libhibiscustide/net/mesh/directory_sync_test.cpp
@@ -0,0 +1,146 @@
+#include "net/mesh/directory_sync.hpp"
+
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+#include "net/clock.hpp"
+
+namespace core = hibiscustide::core;
+namespace net = hibiscustide::net;
+namespace mesh = hibiscustide::net::mesh;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t old_revision = 5;
+constexpr std::uint64_t new_revision = 9;
+
+core::directory::item_changes all_items(std::uint64_t revision)
+{
+    return {
+        .m_revision = revision,
+        .m_complete = true,
+        .m_items = {{.m_key = "k", .m_value = "v", .m_revision = revision}}};
+}
+
+// A starting node that two or more seeds answer and whose publishing service is
+// away. Seed replies are posted, as they arrive from another thread.
+struct starting_node
+{
+    explicit starting_node(std::size_t other_seeds)
+        : m_sync{
+              m_context,
+              {.m_address = "10.0.0.9",
+               .m_on_update =
+                   [this](mesh::directory_update const& update)
+               {
+                   m_used.push_back(update.m_revision);
+                   m_first_use = m_first_use.value_or(net::clock_now());
+               },
+               .m_query_seeds =
+                   [this]
+               {
+                   reply(all_items(old_revision));
+               },
+               .m_query_other_seeds =
+                   [this](std::uint64_t after)
+               {
+                   m_asked_after.push_back(after);
+                   for (auto const& each : m_other_replies)
+                   {
+                       reply(each);
+                   }
+               },
+               .m_other_seeds = other_seeds,
+               .m_seed_timeout = 120ms},
+              make_publisher(),
+              m_counts}
+    {
+    }
+
+    static mesh::publisher make_publisher()
+    {
+        return {
+            .m_read_all = []() -> net::awaitable<mesh::read_outcome>
+            {
+                co_return mesh::read_failed{"away"};
+            },
+            .m_watch = [](std::uint64_t, std::chrono::milliseconds)
+                -> net::awaitable<mesh::read_outcome>
+            {
+                co_return mesh::read_failed{"away"};
+            },
+            .m_decode =
+                [](core::directory::item const&) -> core::directory::change
+            {
+                return core::directory::change_ignored{};
+            }};
+    }
+
+    void reply(core::directory::item_changes changes)
+    {
+        net::asio::post(
+            m_context,
+            [this, changes = std::move(changes)]
+            {
+                m_sync.on_changes(changes);
+            });
+    }
+
+    void run(std::chrono::milliseconds span)
+    {
+        m_sync.start();
+        m_context.run_for(span);
+    }
+
+    net::asio::io_context m_context;
+    net::metrics m_counts;
+    std::vector<core::directory::item_changes> m_other_replies;
+    std::vector<std::uint64_t> m_asked_after;
+    std::vector<std::uint64_t> m_used; ///< Revisions that were passed on.
+    std::optional<core::time_point> m_first_use;
+    mesh::directory_sync m_sync;
+};
+
+} // namespace
+
+// A starting node used the items of the first seed that replied. A seed that
+// had been frozen or cut off sent targets that had left and routes that were
+// withdrawn, and the node used them until the status of a newer node arrived.
+TEST_CASE("a starting node does not use the items of a seed that is behind "
+          "another seed")
+{
+    starting_node node{2};
+    node.m_other_replies = {
+        {.m_after = old_revision, .m_revision = old_revision},
+        {.m_after = old_revision,
+         .m_revision = new_revision,
+         .m_items = {{.m_key = "k", .m_revision = 8, .m_removed = true}}}};
+    node.run(200ms);
+    REQUIRE_FALSE(node.m_used.empty());
+    CHECK(node.m_used.front() == new_revision);
+    CHECK(node.m_asked_after == std::vector<std::uint64_t>{old_revision});
+}
+
+TEST_CASE("a starting node uses the items of the first seed if the others do "
+          "not reply")
+{
+    starting_node node{3};
+    auto const started_at = net::clock_now();
+    node.run(400ms);
+    REQUIRE(node.m_first_use.has_value());
+    CHECK(node.m_used.front() == old_revision);
+    CHECK(*node.m_first_use - started_at < 300ms);
+}
+
+TEST_CASE("a starting node with one seed uses its items without a wait")
+{
+    starting_node node{0};
+    auto const started_at = net::clock_now();
+    node.run(200ms);
+    REQUIRE(node.m_first_use.has_value());
+    CHECK(*node.m_first_use - started_at < 100ms);
+}
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -168,14 +168,28 @@
         m_context,
         [this]
         {
-            request_changes_from_next_seed();
+            request_changes_from_next_seed(0);
             // Makes this node known to the seeds, which then send their status.
             m_status_exchange.send_to_all();
         });
 }
 
-// Asks one seed at a time, because each one sends all items.
-void traffic_thread::request_changes_from_next_seed()
+void traffic_thread::request_changes_from_seeds(
+    std::size_t count, std::uint64_t after)
+{
+    asio::post(
+        m_context,
+        [this, count, after]
+        {
+            for (std::size_t n = 0; n < count; ++n)
+            {
+                request_changes_from_next_seed(after);
+            }
+        });
+}
+
+// At first one seed is asked at a time, because each one sends all items.
+void traffic_thread::request_changes_from_next_seed(std::uint64_t after)
 {
     auto const& seeds = m_settings.m_seeds;
     for (std::size_t n = 0; n < seeds.size(); ++n)
@@ -184,7 +198,7 @@
         auto const node = m_nodes.find_or_add(seed.m_address);
         if (!node->m_is_self)
         {
-            node->m_link->request_changes(0);
+            node->m_link->request_changes(after);
             return;
         }
     }
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -73,6 +73,9 @@
     /// Requests all published items from the next seed.
     void request_changes_from_seeds();
 
+    /// Requests the changes after a revision from the next `count` seeds.
+    void request_changes_from_seeds(std::size_t count, std::uint64_t after);
+
     /// Sends the requested changes to a peer.
     void reply(
         std::function<void(core::directory::item_changes)> const& send_reply,
@@ -107,7 +110,7 @@
 private:
     void on_status(std::string const& address, node_status const& status);
     void request_missing_changes();
-    void request_changes_from_next_seed();
+    void request_changes_from_next_seed(std::uint64_t after);
     void apply(directory_update const& update);
 
     asio::io_context m_context{1};
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -38,6 +38,9 @@
 constexpr milliseconds seed_timeout{120};
 constexpr milliseconds first_start_seed_timeout{400};
 
+// Other seeds with which a starting node compares the items of the first one.
+constexpr std::size_t max_compared_seeds = 3;
+
 constexpr milliseconds flush_interval{200};
 constexpr std::size_t max_ready_connections = 16;
 
@@ -93,6 +96,13 @@
                });
 }
 
+// Number of seeds that are asked besides the first one.
+static std::size_t other_seed_count(core::config::mesh_settings const& settings)
+{
+    auto const count = settings.m_seeds.size();
+    return count == 0 ? 0 : std::min(count - 1, max_compared_seeds);
+}
+
 mesh_node::implementation::implementation(
     core::config::mesh_settings settings, mesh::protocol wire_protocol,
     publisher_factory const& make_publisher, settings_reader reload_settings)
@@ -114,6 +124,13 @@
            {
                m_traffic.request_changes_from_seeds();
            },
+           .m_query_other_seeds =
+               [this](std::uint64_t after)
+           {
+               m_traffic.request_changes_from_seeds(
+                   other_seed_count(m_settings), after);
+           },
+           .m_other_seeds = other_seed_count(m_settings),
            .m_is_seed = is_seed(m_settings),
            .m_seed_timeout = m_settings.m_first_start ? first_start_seed_timeout
                                                       : seed_timeout},
