--- a/src/libhibiscustide/net/mesh/directory_sync_test.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync_test.cpp
@@ -43,7 +43,7 @@
                .m_query_seeds =
                    [this]
                {
-                   reply(all_items(old_revision));
+                   reply(m_first_reply);
                },
                .m_query_other_seeds =
                    [this](std::uint64_t after)
@@ -98,6 +98,7 @@
 
     net::asio::io_context m_context;
     net::metrics m_counts;
+    core::directory::item_changes m_first_reply = all_items(old_revision);
     std::vector<core::directory::item_changes> m_other_replies;
     std::vector<std::uint64_t> m_asked_after;
     std::vector<std::uint64_t> m_used; ///< Revisions that were passed on.
@@ -144,3 +145,17 @@
     REQUIRE(node.m_first_use.has_value());
     CHECK(*node.m_first_use - started_at < 100ms);
 }
+
+// All nodes restart together while the publishing service is away: a seed that
+// has started itself has nothing to send.
+TEST_CASE("a starting node has no state if its seeds have none")
+{
+    starting_node node{2};
+    node.m_first_reply = {};
+    node.run(400ms);
+    for (auto const revision : node.m_used)
+    {
+        CHECK(revision == 0);
+    }
+    CHECK(node.m_asked_after.empty());
+}
