--- a/src/libhibiscustide/core/release/note_codec_test.cpp
+++ b/src/libhibiscustide/core/release/note_codec_test.cpp
@@ -97,3 +97,45 @@
         errors_of(std::string(release::max_note_bytes + 1, ' ')) ==
         "n.json: (document): is larger than 1000000 bytes");
 }
+
+// Only the length of a digest was checked. A digest or a prefix with bytes that
+// are not UTF-8 was accepted, and the note that was written from it was not
+// valid JSON.
+TEST_CASE("a text that cannot be written again is rejected")
+{
+    std::string const digest = "9bdc1c4e430f3e8b3d51\x80"
+                               "48a5a07cea4";
+    CHECK(
+        errors_of(R"({"revision":2,"predecessor":")" + digest + "\"}") ==
+        "n.json: predecessor: must be a digest of 32 hexadecimal digits");
+    CHECK(
+        errors_of(
+            R"({"revision":2,"checkpoint":true,"digest":")" + digest + "\"}") ==
+        "n.json: digest: must be a digest of 32 hexadecimal digits");
+    CHECK(
+        errors_of(service_note("\"slots\":4,\"routes\":[{\"prefix\":\"/\x80\","
+                               "\"class\":\"live\"}]")) ==
+        "n.json: services.added[0].routes[0].prefix: must contain only visible "
+        "ASCII characters");
+    CHECK(
+        errors_of("{\"revision\":1,\"targets\":{\"withdrawn\":[\"\x80\"]}}") ==
+        "n.json: targets.withdrawn: must contain only names of a-z, 0-9, '-' "
+        "and '.', at most 128 characters");
+}
+
+// A share with more than six digits was written with six of them, so that the
+// written note had another value.
+TEST_CASE("a written share is the same when it is read again")
+{
+    auto const first = release::parse_note(
+        service_note(
+            std::string{R"("slots":8,"retry_share":0.123456789,)"} + routes),
+        "n.json");
+    REQUIRE(std::holds_alternative<release::release_note>(first));
+    auto const& note = std::get<release::release_note>(first);
+    auto const second =
+        release::parse_note(release::write_note(note), "n.json");
+    REQUIRE(std::holds_alternative<release::release_note>(second));
+    CHECK(
+        std::get<release::release_note>(second).m_services == note.m_services);
+}
