--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -45,6 +45,9 @@
 // Length of the start of a status line, such as "HTTP/1.1 2".
 constexpr std::size_t status_line_start = 10;
 
+// The parser accepts any three digits as a status.
+constexpr unsigned min_status = 100;
+
 // Number of interim responses that may precede a response.
 constexpr int max_interim_responses = 16;
 
@@ -292,6 +295,10 @@
         }
     }
     auto response = parser.release();
+    if (response.result_int() < min_status)
+    {
+        co_return beast::error_code{http::error::bad_status};
+    }
     if (has_two_status_lines(response))
     {
         co_return beast::error_code{http::error::bad_value};
