Connection pool: mixed answers are also found where a read ends, and by connection

- The search used only the bytes that had been read.
The pool reads in steps of 512 bytes, so an answer whose size is a multiple of that was accepted.
If a response may begin in the body, what has arrived behind it is read first.
- The 512 latest requests of a pool were too few beside a slow one.
The ids are kept by connection now, since a late answer comes on the connection of its request, and a connection is closed after 256 requests.
- A head that is cut behind its id was not compared.
Its complete lines are.
- hibnode's pool had no ids; now it has.
- A whole answer that quotes a response without a body, or the start of one, was refused if a late copy followed it.

The search is a module of its own now. The mixtures of a test share a port: with one each they used up the ports of the machine. hibnode's use of it has no test of its own.

--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "net/body_writer.hpp"
+#include "net/embedded_responses.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net
@@ -41,14 +42,12 @@
 // closed.
 constexpr int max_skipped_responses = 2;
 
-// Maximum number of answered requests that a connection keeps because they may
-// be sent again. The connection is closed when it has that many, since none may
-// be forgotten before the request is no longer sent again.
-constexpr std::size_t max_answered_requests = 256;
+// Maximum number of requests whose identifiers a connection keeps. It is closed
+// when it has that many, since a copy of each response may still arrive on it.
+constexpr std::size_t max_sent_requests = 256;
 
-// Number of requests whose late responses are recognised within the bodies of
-// others.
-constexpr std::size_t max_recent_requests = 512;
+// Bytes behind a body that are read to find out whether they continue it.
+constexpr std::size_t max_rest_bytes = 4'096;
 
 // Subtracted from the idle timeout that a server announces, because a request
 // that is sent while the server closes the connection is lost.
@@ -138,16 +137,38 @@
         --*m_open_count;
     }
 
-    [[nodiscard]] bool has_answered(std::uint64_t request_id) const
+    [[nodiscard]] bool has_sent(request_id id) const
     {
-        return std::find(m_answered.begin(), m_answered.end(), request_id) !=
-               m_answered.end();
+        return id &&
+               std::find(m_sent.begin(), m_sent.end(), *id) != m_sent.end();
+    }
+
+    void on_sent(request_id id)
+    {
+        if (id)
+        {
+            m_sent.push_back(*id);
+        }
+    }
+
+    // Reads the bytes that have arrived behind a response.
+    void read_rest()
+    {
+        beast::error_code error;
+        auto const count = m_stream.socket().available(error);
+        if (error || count == 0)
+        {
+            return;
+        }
+        auto const read = m_stream.socket().read_some(
+            m_buffer.prepare(std::min(count, max_rest_bytes)), error);
+        m_buffer.commit(read);
     }
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    /// Identifiers of the answered requests that may be sent again.
-    std::vector<std::uint64_t> m_answered;
+    /// Identifiers of the requests that were sent on the connection.
+    std::vector<std::uint64_t> m_sent;
     core::time_point m_idle_since;
     core::duration m_idle_timeout{};
     // Shared, because an exchange that is aborted at process exit may outlive
@@ -180,7 +201,7 @@
     // The server may respond before it has read the whole request, so the
     // response is read while the request is being written.
     auto const write = std::make_shared<request_write>(request);
-    remember(id);
+    used->on_sent(id);
     used->m_stream.expires_at(deadline);
     begin_write(used->m_stream, write);
     auto read = co_await read_matching_response(*used, request, deadline);
@@ -212,7 +233,7 @@
         co_return *failure;
     }
     auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
-    remember(id);
+    used->on_sent(id);
     used->m_stream.expires_at(deadline);
     body_writer writer{used->m_stream, body};
     asio::co_spawn(m_context, writer.run(header), asio::detached);
@@ -263,10 +284,10 @@
 awaitable<std::variant<
     std::unique_ptr<connection_pool::connection>, exchange_failure>>
 connection_pool::acquire(
-    std::uint64_t request_id, core::time_point deadline, cancel_scope* scope,
+    request_id id, core::time_point deadline, cancel_scope* scope,
     core::duration max_idle)
 {
-    auto acquired = co_await acquire_unscoped(request_id, deadline, max_idle);
+    auto acquired = co_await acquire_unscoped(id, deadline, max_idle);
     auto* const used = std::get_if<std::unique_ptr<connection>>(&acquired);
     if (used == nullptr || scope == nullptr)
     {
@@ -289,10 +310,9 @@
 awaitable<std::variant<
     std::unique_ptr<connection_pool::connection>, exchange_failure>>
 connection_pool::acquire_unscoped(
-    std::uint64_t request_id, core::time_point deadline,
-    core::duration max_idle)
+    request_id id, core::time_point deadline, core::duration max_idle)
 {
-    if (auto idle = acquire_idle(request_id, max_idle))
+    if (auto idle = acquire_idle(id, max_idle))
     {
         co_return std::move(idle);
     }
@@ -388,36 +408,31 @@
     {
         return false;
     }
+    if (!may_contain_response(response.body()))
+    {
+        return false;
+    }
+    if (used.m_buffer.size() == 0)
+    {
+        used.read_rest();
+    }
     auto const rest = used.m_buffer.cdata();
     auto const found = find_embedded_responses(
         response.body(), {static_cast<char const*>(rest.data()), rest.size()});
-    auto const names_recent_request = [this](http_response const& head)
-    {
-        auto const id = m_options.m_response_id(head);
-        return id && std::find(
-                         m_recent_requests.begin(), m_recent_requests.end(),
-                         *id) != m_recent_requests.end();
-    };
-    return found.m_goes_on_behind ||
+    return found.m_extends_past_body ||
            std::any_of(
                found.m_heads.begin(), found.m_heads.end(),
-               names_recent_request);
-}
-
-void connection_pool::remember(std::uint64_t request_id)
-{
-    m_recent_requests.push_back(request_id);
-    if (m_recent_requests.size() > max_recent_requests)
-    {
-        m_recent_requests.pop_front();
-    }
+               [&](http_response const& head)
+               {
+                   return used.has_sent(m_options.m_response_id(head));
+               });
 }
 
 // Takes the most recently used connection first, so that surplus connections
-// stay idle until they expire. Skips those on which the same request was
-// answered: a copy of that answer would pass for the response.
+// stay idle until they expire. Skips those on which the same request was sent:
+// a copy of its first response would pass for the second one.
 std::unique_ptr<connection_pool::connection> connection_pool::acquire_idle(
-    std::uint64_t request_id, core::duration max_idle)
+    request_id id, core::duration max_idle)
 {
     auto const now = std::chrono::steady_clock::now();
     close_expired(now);
@@ -429,7 +444,7 @@
         {
             break;
         }
-        if ((*position)->has_answered(request_id))
+        if ((*position)->has_sent(id))
         {
             continue;
         }
@@ -454,9 +469,11 @@
     return *m_open_count < m_options.m_max_connections;
 }
 
-std::uint64_t connection_pool::id_of(http_request const& request) const
+connection_pool::request_id connection_pool::id_of(
+    http_request const& request) const
 {
-    return m_options.m_request_id ? m_options.m_request_id(request) : 0;
+    return m_options.m_request_id ? m_options.m_request_id(request)
+                                  : std::nullopt;
 }
 
 // A connection is not reused if more bytes follow the response, because they
@@ -466,17 +483,13 @@
     std::unique_ptr<connection> used, http_request const& request,
     http_response const& response, bool is_request_written)
 {
-    if (m_options.m_is_repeatable && m_options.m_is_repeatable(response))
-    {
-        used->m_answered.push_back(id_of(request));
-    }
     if (used->m_buffer.size() > 0)
     {
         report_discarded(request, discard_reason::surplus);
     }
     bool const is_reusable = response.keep_alive() && !response.need_eof() &&
                              used->m_buffer.size() == 0 && is_request_written &&
-                             used->m_answered.size() < max_answered_requests;
+                             used->m_sent.size() < max_sent_requests;
     if (is_reusable)
     {
         used->m_idle_timeout =
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -59,19 +59,17 @@
     /// function is empty, every response is accepted.
     std::function<bool(http_request const&, http_response const&)>
         m_matches_request;
-    /// Whether the same request may be sent again after this response. It is
-    /// not sent again on the same connection, because a copy of the response
-    /// cannot be distinguished from the next one. If the function is empty, no
-    /// request is sent again.
-    std::function<bool(http_response const&)> m_is_repeatable;
     /// Identifier of a request, which is equal if the same request is sent
-    /// again. Must be set if `m_is_repeatable` or `m_response_id` is set.
-    std::function<std::uint64_t(http_request const&)> m_request_id;
-    /// Identifier of the request that a response names; nothing if it names
-    /// none. A response is not accepted if its body contains the head of a
-    /// response to a recent request, or a response that goes on behind it: a
-    /// server that stops within a response and goes on with another one sends
-    /// such a body. If the function is empty, bodies are not searched.
+    /// again; nothing if it has none. A request is not sent again on the same
+    /// connection, because a copy of its first response cannot be distinguished
+    /// from the second one. If the function is empty, no request is sent again.
+    std::function<std::optional<std::uint64_t>(http_request const&)>
+        m_request_id;
+    /// Returns the identifier of the request that a response names, or nothing.
+    /// If it is set, a response is refused if its body contains the head of a
+    /// response to a request that was sent on the connection, or the start of a
+    /// response that extends past the body. A server that breaks off a response
+    /// and sends another one on the connection causes such a body.
     std::function<std::optional<std::uint64_t>(http_response const&)>
         m_response_id;
     /// Called with the request during which bytes were discarded. May be empty.
@@ -132,19 +130,19 @@
 
 private:
     struct connection;
+    using request_id = std::optional<std::uint64_t>;
 
     awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>>
     acquire(
-        std::uint64_t request_id, core::time_point deadline,
-        cancel_scope* scope, core::duration max_idle);
+        request_id id, core::time_point deadline, cancel_scope* scope,
+        core::duration max_idle);
     awaitable<std::variant<std::unique_ptr<connection>, exchange_failure>>
     acquire_unscoped(
-        std::uint64_t request_id, core::time_point deadline,
-        core::duration max_idle);
+        request_id id, core::time_point deadline, core::duration max_idle);
     [[nodiscard]] std::unique_ptr<connection> acquire_idle(
-        std::uint64_t request_id, core::duration max_idle);
+        request_id id, core::duration max_idle);
     [[nodiscard]] bool has_room_for_connection();
-    [[nodiscard]] std::uint64_t id_of(http_request const& request) const;
+    [[nodiscard]] request_id id_of(http_request const& request) const;
     awaitable<std::variant<http_response, beast::error_code>>
     read_matching_response(
         connection& used, http_request const& request,
@@ -154,7 +152,6 @@
         http_response const& response, bool is_request_written);
     [[nodiscard]] bool contains_other_response(
         connection& used, http_response const& response) const;
-    void remember(std::uint64_t request_id);
     void report_discarded(
         http_request const& request, discard_reason why) const;
     void release(std::unique_ptr<connection> used);
@@ -168,8 +165,6 @@
     /// Shared, because an exchange that is aborted at process exit may outlive
     /// the pool.
     std::shared_ptr<core::admission::buffer_quota> m_response_quota;
-    /// Identifiers of the latest requests, oldest first.
-    std::deque<std::uint64_t> m_recent_requests;
     std::uint64_t m_total_opened = 0;
 };
 
--- a/src/libhibiscustide/net/connection_pool_test.cpp
+++ b/src/libhibiscustide/net/connection_pool_test.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -170,9 +172,8 @@
     std::vector<scripts> m_scripts;
 };
 
-// Options of a pool whose server echoes the field Id and refuses a request by
-// the status 503.
-net::connection_pool_options refusable(
+// Options of a pool whose server echoes the field Id.
+net::connection_pool_options with_ids(
     hibiscustide::core::endpoint const& server)
 {
     return {
@@ -183,13 +184,8 @@
         {
             return request["Id"] == response["Id"];
         },
-        .m_is_repeatable =
-            [](net::http_response const& response)
-        {
-            return response.result() == net::status::service_unavailable;
-        },
         .m_request_id =
-            [](net::http_request const& request)
+            [](net::http_request const& request) -> std::optional<std::uint64_t>
         {
             return hibiscustide::core::hash_of(std::string{request["Id"]});
         }};
@@ -361,7 +357,7 @@
         script const answer{piece{answer_to("a")}};
         scripted_server const server{
             context, {{refuse, copy_and_answer}, {answer}}};
-        net::connection_pool pool{context, refusable(server.address())};
+        net::connection_pool pool{context, with_ids(server.address())};
         CHECK(status_of(exchange(context, pool, "a")) == 503);
         CHECK(status_of(exchange(context, pool, "a")) == 200);
         CHECK(server.m_connections == 2);
@@ -375,19 +371,19 @@
     script const refuse{piece{refusal_of("a")}};
     script const answer{piece{answer_to("b")}};
     scripted_server const server{context, {{refuse, answer}}};
-    net::connection_pool pool{context, refusable(server.address())};
+    net::connection_pool pool{context, with_ids(server.address())};
     CHECK(status_of(exchange(context, pool, "a")) == 503);
     CHECK(status_of(exchange(context, pool, "b")) == 200);
     CHECK(server.m_connections == 1);
 }
 
-TEST_CASE("a full pool whose connections have all refused a request replaces "
+TEST_CASE("a full pool whose connections have all sent a request replaces "
           "an idle one for it")
 {
     asio::io_context context;
     script const refuse{piece{refusal_of("a")}};
     scripted_server const server{context, {{refuse}}};
-    auto options = refusable(server.address());
+    auto options = with_ids(server.address());
     options.m_max_connections = 1;
     net::connection_pool pool{context, options};
     CHECK(status_of(exchange(context, pool, "a")) == 503);
@@ -396,7 +392,7 @@
     CHECK(pool.open_connections() == 1);
 }
 
-TEST_CASE("a connection is closed when it has as many refusals as it may keep")
+TEST_CASE("a connection is closed after as many requests as it may keep")
 {
     constexpr std::size_t refusals = 300;
     asio::io_context context;
@@ -411,7 +407,7 @@
         return scripted_server::scripts{begin, replies.end()};
     };
     scripted_server const server{context, {replies, rest(256)}};
-    net::connection_pool pool{context, refusable(server.address())};
+    net::connection_pool pool{context, with_ids(server.address())};
     for (std::size_t n = 0; n < refusals; ++n)
     {
         CHECK(status_of(exchange(context, pool, std::to_string(n))) == 503);
@@ -478,7 +474,7 @@
             script const only_answer{piece{answer_to("b")}};
             scripted_server const server{
                 context, {{refuse, answer}, {only_answer}}};
-            net::connection_pool pool{context, refusable(server.address())};
+            net::connection_pool pool{context, with_ids(server.address())};
             CHECK(status_of(exchange(context, pool, "a")) == 503);
             context.restart();
             context.run_for(20ms);
@@ -507,7 +503,7 @@
         CAPTURE(each.m_reply);
         asio::io_context context;
         scripted_server const server{context, {{{piece{each.m_reply}}}}};
-        auto options = refusable(server.address());
+        auto options = with_ids(server.address());
         std::vector<net::discard_reason> reported;
         options.m_on_discarded =
             [&reported](net::http_request const&, net::discard_reason why)
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -1,7 +1,7 @@
 #include "net/http_io.hpp"
 
 #include <algorithm>
-#include <cstdint>
+#include <string_view>
 #include <utility>
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -11,6 +11,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "net/embedded_responses.hpp"
+
 namespace hibiscustide::net
 {
 
@@ -42,91 +44,16 @@
     co_return parser.release();
 }
 
-// Length of the start of a status line, such as "HTTP/1.1 2".
-constexpr std::size_t status_line_start = 10;
-
 // The parser accepts any three digits as a status.
 constexpr unsigned min_status = 100;
 
 // Number of interim responses that may precede a response.
 constexpr int max_interim_responses = 16;
 
-// Number of status lines within a body that are examined. A body that quotes
-// more of them is not searched further.
-constexpr std::size_t max_status_lines = 32;
-
-// Position of the first start of a status line from `from` on; npos if there is
-// none.
-std::size_t find_status_line(beast::string_view text, std::size_t from)
-{
-    static constexpr beast::string_view version = "HTTP/1.";
-    auto const is_digit = [](char character)
-    {
-        return character >= '0' && character <= '9';
-    };
-    auto position = text.find(version, from);
-    while (position != beast::string_view::npos &&
-           text.size() - position >= status_line_start)
-    {
-        auto const minor = position + version.size();
-        if (is_digit(text[minor]) && text[minor + 1] == ' ' &&
-            is_digit(text[minor + 2]))
-        {
-            return position;
-        }
-        position = text.find(version, minor);
-    }
-    return beast::string_view::npos;
-}
-
 bool contains_status_line(beast::string_view text)
 {
-    return find_status_line(text, 0) != beast::string_view::npos;
-}
-
-// The start of a response within other bytes.
-struct embedded_start
-{
-    std::optional<http_response> m_head; // Nothing if it is not complete.
-    std::uint64_t m_size = 0;            // Of the head and the body.
-};
-
-// Size of a body in chunks that starts with the bytes, as far as they go.
-std::uint64_t chunked_size(std::string_view bytes)
-{
-    static constexpr std::string_view last_chunk = "\r\n0\r\n\r\n";
-    auto const end = bytes.find(last_chunk);
-    return end == std::string_view::npos ? UINT64_MAX : end + last_chunk.size();
-}
-
-// Parses the head of the response that starts with the bytes. Returns nothing
-// if they are not a response. A body without a length has no end.
-std::optional<embedded_start> parse_start(std::string_view bytes)
-{
-    auto const limit = message_limits{}.m_max_header_bytes;
-    auto const head = bytes.substr(0, limit);
-    http::response_parser<http::empty_body> parser;
-    parser.header_limit(limit);
-    beast::error_code error;
-    auto const head_size =
-        parser.put(asio::const_buffer{head.data(), head.size()}, error);
-    if (!parser.is_header_done())
-    {
-        bool const is_cut = error == http::error::need_more;
-        return is_cut ? std::optional{embedded_start{.m_size = UINT64_MAX}}
-                      : std::nullopt;
-    }
-    embedded_start start{.m_head = http_response{}, .m_size = UINT64_MAX};
-    start.m_head->base() = parser.get().base();
-    auto const body = bytes.substr(head_size);
-    auto const size = parser.chunked()
-                          ? chunked_size(body)
-                          : parser.content_length().value_or(UINT64_MAX);
-    if (size < UINT64_MAX - head_size)
-    {
-        start.m_size = head_size + size;
-    }
-    return start;
+    return find_status_line({text.data(), text.size()}, 0) !=
+           std::string_view::npos;
 }
 
 // No request asks for another protocol, so 101 is not an interim response here.
@@ -325,41 +252,6 @@
     co_return beast::error_code{http::error::bad_status};
 }
 
-embedded_responses find_embedded_responses(
-    std::string_view body, std::string_view rest)
-{
-    embedded_responses found;
-    // A status line may begin in the body and end behind it.
-    auto const tail =
-        body.substr(body.size() - std::min(body.size(), status_line_start - 1));
-    auto boundary = std::string{tail};
-    boundary += rest.substr(0, status_line_start);
-    bool const begins_in_tail = find_status_line(boundary, 0) < tail.size();
-    if (!begins_in_tail && !contains_status_line({body.data(), body.size()}))
-    {
-        return found;
-    }
-    std::string text{body};
-    text += rest;
-    std::string_view const bytes{text};
-    auto position = find_status_line(text, 0);
-    for (std::size_t n = 0; n < max_status_lines && position < body.size(); ++n)
-    {
-        if (auto start = parse_start(bytes.substr(position)))
-        {
-            bool const ends_behind = start->m_size > body.size() - position;
-            found.m_goes_on_behind =
-                found.m_goes_on_behind || (ends_behind && !rest.empty());
-            if (start->m_head)
-            {
-                found.m_heads.push_back(std::move(*start->m_head));
-            }
-        }
-        position = find_status_line(text, position + status_line_start);
-    }
-    return found;
-}
-
 awaitable<write_result> write_request(
     beast::tcp_stream& stream, http_request const& request,
     core::time_point deadline)
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -1,6 +1,5 @@
 /// \file
-/// Reads and writes complete HTTP messages on a stream. All of Beast's parsers
-/// are instantiated here.
+/// Reads and writes complete HTTP messages on a stream.
 #ifndef HIBISCUSTIDE_NET_HTTP_IO_HPP
 #define HIBISCUSTIDE_NET_HTTP_IO_HPP
 
@@ -9,9 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
-#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
@@ -81,32 +78,16 @@
 awaitable<beast::error_code> write_continue(
     beast::tcp_stream& stream, core::duration timeout);
 
-/// Reads a complete response before `deadline`; interim responses before it are
-/// skipped. `is_head` states that it is the
-/// response to a HEAD request and so has no body. Fails with
-/// `http::error::body_limit` if the body exceeds the limits or its share of a
-/// quota, and with `http::error::bad_value` if the head contains a second
-/// status line.
+/// Reads a complete response before `deadline` and skips interim responses.
+/// `is_head` states that it is the response to a HEAD request and so has no
+/// body. Fails with `http::error::body_limit` if the body exceeds the limits or
+/// its share of a quota, and with `http::error::bad_value` if the head contains
+/// a second status line.
 awaitable<std::variant<http_response, beast::error_code>> read_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, core::admission::buffer_quota::share& share,
     bool is_head, core::time_point deadline);
 
-/// What the body of a response contains of further responses.
-struct embedded_responses
-{
-    /// The heads that begin within the body.
-    std::vector<http_response> m_heads;
-    /// Whether one of the responses does not end in the body, and bytes follow
-    /// the body.
-    bool m_goes_on_behind = false;
-};
-
-/// Finds the heads of responses that begin within `body`. `rest` contains the
-/// bytes that have arrived behind it.
-[[nodiscard]] embedded_responses find_embedded_responses(
-    std::string_view body, std::string_view rest);
-
 /// The result of writing a message.
 struct write_result
 {
--- a/src/libhibiscustide/net/ingress.cpp
+++ b/src/libhibiscustide/net/ingress.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <hibiscustide/core/hash.hpp>
 #include <hibiscustide/core/routing/request_class.hpp>
 
 #include "net/clock.hpp"
@@ -88,6 +89,29 @@
     return is_node_unavailable(why) || why == reason::target_refused;
 }
 
+std::optional<std::uint64_t> attempt_id_of(beast::http::fields const& fields)
+{
+    auto const attempt = headers::value_of(fields, headers::attempt);
+    return attempt.empty() ? std::nullopt
+                           : std::optional{core::hash_of(attempt)};
+}
+
+connection_pool_options target_pool_options(core::endpoint const& target)
+{
+    return {
+        .m_remote = target,
+        .m_request_id =
+            [](http_request const& request)
+        {
+            return attempt_id_of(request);
+        },
+        .m_response_id =
+            [](http_response const& response)
+        {
+            return attempt_id_of(response);
+        }};
+}
+
 } // namespace
 
 struct ingress::call_or_reason
@@ -105,7 +129,7 @@
       m_orders{orders},
       m_counts{counts},
       m_peers{context, m_options.m_local_address},
-      m_target{context, {.m_remote = m_options.m_target}},
+      m_target{context, target_pool_options(m_options.m_target)},
       m_random{m_options.m_seed}
 {
 }
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -23,11 +23,15 @@
 
 constexpr milliseconds probe_idle_limit{5'000};
 
-constexpr unsigned min_failure_status = 500;
-
 // Health checks are answered without a body as a rule.
 constexpr std::size_t max_probe_body_bytes = 65'536;
 
+std::optional<std::uint64_t> id_of(std::string const& attempt)
+{
+    return attempt.empty() ? std::nullopt
+                           : std::optional{core::hash_of(attempt)};
+}
+
 } // namespace
 
 target_gate::target_gate(
@@ -50,25 +54,15 @@
                return wire_protocol.m_read_caller(request).m_attempt ==
                       wire_protocol.m_read_answer(answer).m_attempt;
            },
-           .m_is_repeatable =
-               [&wire_protocol](http_response const& answer)
-           {
-               return wire_protocol.m_read_answer(answer).m_not_run ||
-                      answer.result_int() >= min_failure_status;
-           },
            .m_request_id =
                [&wire_protocol](http_request const& request)
            {
-               return core::hash_of(
-                   wire_protocol.m_read_caller(request).m_attempt);
+               return id_of(wire_protocol.m_read_caller(request).m_attempt);
            },
            .m_response_id =
                [&wire_protocol](http_response const& answer)
            {
-               auto const attempt =
-                   wire_protocol.m_read_answer(answer).m_attempt;
-               return attempt.empty() ? std::nullopt
-                                      : std::optional{core::hash_of(attempt)};
+               return id_of(wire_protocol.m_read_answer(answer).m_attempt);
            },
            .m_on_discarded =
                [this](http_request const& request, discard_reason why)
--- a/src/libhibiscustide/net/mixed_answers_test.cpp
+++ b/src/libhibiscustide/net/mixed_answers_test.cpp
@@ -1,9 +1,11 @@
 // Mixtures of answers that a stuttering server sends on one connection: copies,
 // cuts and pieces. An exchange gets exactly the answer to its request or none.
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -109,15 +111,19 @@
     std::vector<reply> m_replies;
 };
 
-// Serves one connection after the other with the replies of a mixture. A
-// further connection gets the allowed answer at once.
+// Serves mixtures on one port. The target of a request is the index of its
+// mixture: a port for each of them would use up the ports of the machine.
 class stuttering_server
 {
 public:
-    stuttering_server(asio::io_context& context, mixture const& script)
-        : m_acceptor{context, {asio::ip::address_v4::loopback(), 0}},
-          m_script{script}
+    stuttering_server(
+        asio::io_context& context, std::vector<mixture> const& scripts)
+        : m_acceptor{context, {asio::ip::address_v4::loopback(), 0}}
     {
+        for (auto const& each : scripts)
+        {
+            m_states.push_back({.m_script = &each});
+        }
         asio::co_spawn(context, accept(context), asio::detached);
     }
 
@@ -129,10 +135,16 @@
     void close()
     {
         m_acceptor.close();
-        m_sockets.clear();
     }
 
 private:
+    struct state
+    {
+        mixture const* m_script = nullptr;
+        std::size_t m_next = 0;
+        int m_connections = 0;
+    };
+
     asio::awaitable<void> accept(asio::io_context& context)
     {
         while (m_acceptor.is_open())
@@ -142,48 +154,55 @@
             {
                 co_return;
             }
-            auto const used = std::make_shared<tcp::socket>(std::move(socket));
-            m_sockets.push_back(used);
-            bool const is_first = m_sockets.size() == 1;
-            asio::co_spawn(context, serve(used, is_first), asio::detached);
+            asio::co_spawn(context, serve(std::move(socket)), asio::detached);
         }
     }
 
-    // The requests of a test fit into one segment.
-    asio::awaitable<void> serve(
-        std::shared_ptr<tcp::socket> socket, bool is_first)
+    // The requests of a test fit into one segment. The first connection of a
+    // mixture gets its pieces, a further one the allowed answers.
+    asio::awaitable<void> serve(tcp::socket socket)
     {
-        socket->set_option(tcp::no_delay{true});
-        asio::steady_timer timer{socket->get_executor()};
-        while (m_next < m_script.m_replies.size())
+        socket.set_option(tcp::no_delay{true});
+        asio::steady_timer timer{socket.get_executor()};
+        int connection = 0;
+        while (true)
         {
             std::string request(1'024, '\0');
-            auto const [error, size] = co_await socket->async_read_some(
+            auto const [error, size] = co_await socket.async_read_some(
                 asio::buffer(request), no_throw);
             if (error)
             {
                 co_return;
             }
-            auto const& each = m_script.m_replies[m_next++];
+            auto& served = m_states[index_in(request)];
+            connection = connection == 0 ? ++served.m_connections : connection;
+            auto const& each = served.m_script->m_replies[served.m_next++];
             std::vector<piece> const plain{{each.m_allowed.front().to_bytes()}};
-            for (auto const& part : is_first ? each.m_pieces : plain)
+            for (auto const& part : connection == 1 ? each.m_pieces : plain)
             {
                 timer.expires_after(part.m_after);
                 co_await timer.async_wait(no_throw);
                 co_await asio::async_write(
-                    *socket, asio::buffer(part.m_bytes), no_throw);
+                    socket, asio::buffer(part.m_bytes), no_throw);
             }
             if (each.m_close)
             {
-                socket->shutdown(tcp::socket::shutdown_send);
+                socket.shutdown(tcp::socket::shutdown_send);
             }
         }
     }
 
+    static std::size_t index_in(std::string const& request)
+    {
+        auto const slash = request.find('/');
+        std::size_t index = 0;
+        std::from_chars(
+            request.data() + slash + 1, request.data() + request.size(), index);
+        return index;
+    }
+
     tcp::acceptor m_acceptor;
-    mixture const& m_script;
-    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
-    std::size_t m_next = 0;
+    std::vector<state> m_states;
 };
 
 net::connection_pool_options options_for(
@@ -197,13 +216,8 @@
         {
             return request["Id"] == response["Id"];
         },
-        .m_is_repeatable =
-            [](net::http_response const& response)
-        {
-            return response.result_int() >= 500;
-        },
         .m_request_id =
-            [](net::http_request const& request)
+            [](net::http_request const& request) -> std::optional<std::uint64_t>
         {
             return hibiscustide::core::hash_of(std::string{request["Id"]});
         },
@@ -216,13 +230,15 @@
         }};
 }
 
-// One mixture with its server and pool, and what its exchanges returned.
+// One mixture with its pool, and what its exchanges returned.
 struct mixture_run
 {
-    mixture_run(asio::io_context& context, mixture script)
-        : m_script{std::move(script)},
-          m_server{context, m_script},
-          m_pool{context, options_for(m_server.address())}
+    mixture_run(
+        asio::io_context& context, hibiscustide::core::endpoint const& server,
+        mixture const& script, std::size_t index)
+        : m_script{script},
+          m_target{"/" + std::to_string(index)},
+          m_pool{context, options_for(server)}
     {
     }
 
@@ -230,7 +246,7 @@
     {
         for (auto const& each : m_script.m_replies)
         {
-            net::http_request request{each.m_method, "/", 11};
+            net::http_request request{each.m_method, m_target, 11};
             request.set(net::field::host, "x");
             request.set("Id", each.m_id);
             auto const deadline = std::chrono::steady_clock::now() + timeout;
@@ -238,11 +254,10 @@
                 co_await m_pool.exchange(request, deadline, nullptr));
         }
         m_pool.close_idle();
-        m_server.close();
     }
 
-    mixture m_script;
-    stuttering_server m_server;
+    mixture const& m_script;
+    std::string m_target;
     net::connection_pool m_pool;
     std::vector<net::exchange_result> m_results;
 };
@@ -283,24 +298,41 @@
     }
 }
 
+void check_batch(std::vector<mixture> const& mixtures)
+{
+    asio::io_context context;
+    stuttering_server server{context, mixtures};
+    std::vector<std::unique_ptr<mixture_run>> batch;
+    std::size_t running = mixtures.size();
+    for (std::size_t n = 0; n < mixtures.size(); ++n)
+    {
+        batch.push_back(std::make_unique<mixture_run>(
+            context, server.address(), mixtures[n], n));
+        asio::co_spawn(
+            context, batch.back()->run(),
+            [&](std::exception_ptr const&)
+            {
+                if (--running == 0)
+                {
+                    server.close();
+                }
+            });
+    }
+    context.run();
+    for (auto const& each : batch)
+    {
+        check(*each);
+    }
+}
+
 void check_all(std::vector<mixture> const& mixtures)
 {
     for (std::size_t first = 0; first < mixtures.size(); first += batch_size)
     {
-        asio::io_context context;
-        std::vector<std::unique_ptr<mixture_run>> batch;
-        auto const last = std::min(first + batch_size, mixtures.size());
-        for (std::size_t n = first; n < last; ++n)
-        {
-            batch.push_back(
-                std::make_unique<mixture_run>(context, mixtures[n]));
-            asio::co_spawn(context, batch.back()->run(), asio::detached);
-        }
-        context.run();
-        for (auto const& each : batch)
-        {
-            check(*each);
-        }
+        auto const begin =
+            mixtures.begin() + static_cast<std::ptrdiff_t>(first);
+        auto const size = std::min(batch_size, mixtures.size() - first);
+        check_batch({begin, begin + static_cast<std::ptrdiff_t>(size)});
     }
 }
 
@@ -400,6 +432,99 @@
     check_all(mixtures);
 }
 
+// The body ended where a read ended, so that the bytes of the second answer had
+// not been read.
+TEST_CASE("a cut answer whose size is that of several reads is not completed "
+          "by another answer")
+{
+    constexpr std::size_t read_bytes = 512;
+    answer const earlier{.m_id = "b", .m_body = std::string(2'000, 'y')};
+    std::vector<mixture> mixtures;
+    for (std::size_t reads = 1; reads <= 16; reads *= 2)
+    {
+        answer first{
+            .m_id = "a", .m_body = std::string(reads * read_bytes, 'x')};
+        while (first.to_bytes().size() > reads * read_bytes)
+        {
+            first.m_body.pop_back();
+        }
+        REQUIRE(first.to_bytes().size() == reads * read_bytes);
+        for (std::size_t missing = 1; missing <= 60; ++missing)
+        {
+            auto const cut =
+                first.to_bytes().substr(0, first.to_bytes().size() - missing);
+            for (auto const& second : {first, earlier})
+            {
+                mixtures.push_back(
+                    {.m_name = std::to_string(reads) + " reads, missing " +
+                               std::to_string(missing),
+                     .m_replies = {
+                         {.m_id = "b",
+                          .m_pieces = {{earlier.to_bytes()}},
+                          .m_allowed = {earlier},
+                          .m_must_succeed = true},
+                         {.m_id = "a",
+                          .m_pieces = {{cut + second.to_bytes()}},
+                          .m_allowed = {first}}}});
+            }
+        }
+    }
+    check_all(mixtures);
+}
+
+// The bytes that completed the answer came alone, and contained the id.
+TEST_CASE("an answer that is cut and continued in two pieces is not taken for "
+          "whole")
+{
+    answer const first{.m_id = "a", .m_body = std::string(200, 'x')};
+    auto const whole = first.to_bytes();
+    auto const id_end =
+        whole.find("Id: a\r\n") + std::string{"Id: a\r\n"}.size();
+    std::vector<mixture> mixtures;
+    for (std::size_t missing = id_end; missing <= first.m_body.size();
+         ++missing)
+    {
+        mixtures.push_back(
+            {.m_name = "missing " + std::to_string(missing),
+             .m_replies = {
+                 {.m_id = "a",
+                  .m_pieces =
+                      {{whole.substr(0, whole.size() - missing)},
+                       {whole.substr(0, missing), late},
+                       {whole.substr(missing), late}},
+                  .m_allowed = {first}}}});
+    }
+    check_all(mixtures);
+}
+
+TEST_CASE("an answer is not completed by that to a request that was sent many "
+          "requests before")
+{
+    constexpr int requests_between = 600;
+    answer const earlier{.m_id = "b", .m_body = body_two};
+    answer const first{.m_id = "a", .m_body = body_one};
+    auto const whole = first.to_bytes();
+    mixture script{.m_name = "many requests between", .m_replies = {}};
+    auto const add_plain = [&script](answer const& each)
+    {
+        script.m_replies.push_back(
+            {.m_id = each.m_id,
+             .m_pieces = {{each.to_bytes()}},
+             .m_allowed = {each},
+             .m_must_succeed = true});
+    };
+    add_plain(earlier);
+    for (int n = 0; n < requests_between; ++n)
+    {
+        add_plain({.m_id = std::to_string(n), .m_body = body_one});
+    }
+    script.m_replies.push_back(
+        {.m_id = "a",
+         .m_pieces = {{whole.substr(0, whole.size() - 5) + earlier.to_bytes()}},
+         .m_allowed = {first}});
+    check_all({script});
+}
+
 // A target sent the answer to an earlier request once more when the next
 // request had arrived, as a whole or cut, and the next caller got it.
 TEST_CASE("a late copy of an earlier answer, cut at any byte, does not become "
@@ -550,6 +675,27 @@
     check_all(mixtures);
 }
 
+// A late copy followed the answer, and the body seemed to go on in it.
+TEST_CASE("an answer that quotes a response without a body, or the start of "
+          "one, is accepted although a copy follows it")
+{
+    std::vector<mixture> mixtures;
+    for (std::string const quoted :
+         {"HTTP/1.1 204 None\r\nId: c\r\n\r\n", "HTTP/1.1 200 OK", "HTTP/1.1 2",
+          "HTTP/1.1 200 OK\r\nId: c\r\n"})
+    {
+        answer const quoting{.m_id = "a", .m_body = body_one + quoted};
+        mixtures.push_back(
+            {.m_name = quoted,
+             .m_replies = {
+                 {.m_id = "a",
+                  .m_pieces = {{quoting.to_bytes() + quoting.to_bytes()}},
+                  .m_allowed = {quoting},
+                  .m_must_succeed = true}}});
+    }
+    check_all(mixtures);
+}
+
 // The body of a whole answer may quote the heads of other answers.
 TEST_CASE("an answer whose body contains the head of a response to an unknown "
           "request is accepted")
