Directory: only other seeds' replies end the comparison of a starting node

Callers saw requests go to targets that had left: a starting node could use the items of a seed that was behind although another seed had newer ones.

Cause: each reply was counted, also a second one of the first seed, and the rotation of the seeds came back to the first one.

Change: the sender's address is passed on with its changes. Replies of the first sender are not counted, and the comparison does not ask it again.

The signature of the callbacks in the other tests follows; their checks are as before.

--- a/src/libhibiscustide/net/mesh/call_test.cpp
+++ b/src/libhibiscustide/net/mesh/call_test.cpp
@@ -313,7 +313,7 @@
          .m_failure_domain = "one",
          .m_port = peer_port,
          .m_incarnation = 77,
-         .m_on_changes = [](auto&&) {}}};
+         .m_on_changes = [](auto const&, auto&&) {}}};
     mesh::call_environment m_environment{
         .m_context = m_context,
         .m_nodes = m_nodes,
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -85,9 +85,18 @@
     m_state.on_peer_reported_recovery(clock_now());
 }
 
-void directory_sync::on_changes(core::directory::item_changes const& changes)
+void directory_sync::on_changes(
+    std::string const& address, core::directory::item_changes const& changes)
 {
-    ++m_replies;
+    bool const is_first = m_replica.revision() == 0 && changes.m_revision > 0;
+    if (is_first)
+    {
+        m_first_sender = address;
+    }
+    else if (!m_first_sender.empty() && address != m_first_sender)
+    {
+        m_change_replies.insert(address);
+    }
     apply(changes);
 }
 
@@ -178,20 +187,19 @@
     }
 }
 
-// The first seed that has replied may be behind: it may have been cut off, or
-// frozen, or have started from such a seed itself. Its items may name targets
-// that have left and routes that were withdrawn, so they are not used before
-// the other seeds have sent what they have beyond them.
+// The first seed may be behind, for example because it was cut off. Its items
+// are used only after the other seeds have sent later changes, or after
+// comparison_timeout. Further replies of the first seed are not counted.
 awaitable<void> directory_sync::compare_with_other_seeds()
 {
     if (m_options.m_is_seed || m_replica.revision() == 0)
     {
         co_return;
     }
-    auto const expected = m_replies + m_options.m_other_seeds;
     auto const deadline = clock_now() + comparison_timeout;
-    m_options.m_query_other_seeds(m_replica.revision());
-    while (m_replies < expected && clock_now() < deadline)
+    m_options.m_query_other_seeds(m_first_sender, m_replica.revision());
+    while (m_change_replies.size() < m_options.m_other_seeds &&
+           clock_now() < deadline)
     {
         co_await pause(comparison_interval);
     }
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -43,8 +44,9 @@
     /// Requests the published items from the seeds, the nodes that the settings
     /// name.
     std::function<void()> m_query_seeds;
-    /// Requests the changes after a revision from the other seeds.
-    std::function<void(std::uint64_t after)> m_query_other_seeds;
+    /// Requests the changes after a revision from seeds other than `first`.
+    std::function<void(std::string const& first, std::uint64_t after)>
+        m_query_other_seeds;
     /// Number of other seeds that m_query_other_seeds asks.
     std::size_t m_other_seeds = 0;
     /// Whether this node is a seed. A seed reads from the publishing service at
@@ -80,8 +82,10 @@
     /// Records that a peer reports a recent recovery of the publishing service.
     void on_peer_reported_recovery();
 
-    /// Applies changes that a peer sent.
-    void on_changes(core::directory::item_changes const& changes);
+    /// Applies changes that the peer with this address sent.
+    void on_changes(
+        std::string const& address,
+        core::directory::item_changes const& changes);
 
     /// Returns the changes that a peer at this revision lacks.
     [[nodiscard]] core::directory::item_changes changes_after(
@@ -116,7 +120,12 @@
     core::time_point m_last_failed_at{}; ///< When a read last failed.
     core::time_point m_recovered_at{};   ///< When the service last recovered.
     std::uint32_t m_failure_count = 0;
-    std::size_t m_replies = 0; ///< Changes that peers have sent.
+    /// Address of the peer that sent the first items. Empty if none has, or if
+    /// the service sent them.
+    std::string m_first_sender;
+    /// Addresses of the other peers that have replied to requests for changes
+    /// since then.
+    std::set<std::string> m_change_replies;
     /// Whether the state may be passed on. A starting node compares the items
     /// of the first seed with the others before it uses them.
     bool m_may_notify = false;
--- a/src/libhibiscustide/net/mesh/directory_sync_test.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync_test.cpp
@@ -1,5 +1,6 @@
 #include "net/mesh/directory_sync.hpp"
 
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -17,6 +18,7 @@
 
 constexpr std::uint64_t old_revision = 5;
 constexpr std::uint64_t new_revision = 9;
+constexpr char const* first_seed = "10.0.0.1";
 
 core::directory::item_changes all_items(std::uint64_t revision)
 {
@@ -43,15 +45,21 @@
                .m_query_seeds =
                    [this]
                {
-                   reply(m_first_reply);
+                   reply(first_seed, m_first_reply);
                },
                .m_query_other_seeds =
-                   [this](std::uint64_t after)
+                   [this](std::string const& first, std::uint64_t after)
                {
+                   CHECK(first == first_seed);
                    m_asked_after.push_back(after);
+                   int number = 0;
                    for (auto const& each : m_other_replies)
                    {
-                       reply(each);
+                       reply("10.0.1." + std::to_string(++number), each);
+                   }
+                   for (auto const& each : m_more_first_replies)
+                   {
+                       reply(first_seed, each);
                    }
                },
                .m_other_seeds = other_seeds,
@@ -80,13 +88,14 @@
             }};
     }
 
-    void reply(core::directory::item_changes changes)
+    void reply(
+        std::string const& address, core::directory::item_changes changes)
     {
         net::asio::post(
             m_context,
-            [this, changes = std::move(changes)]
+            [this, address, changes = std::move(changes)]
             {
-                m_sync.on_changes(changes);
+                m_sync.on_changes(address, changes);
             });
     }
 
@@ -99,7 +108,9 @@
     net::asio::io_context m_context;
     net::metrics m_counts;
     core::directory::item_changes m_first_reply = all_items(old_revision);
+    /// Replies of other seeds to the comparison, and of the first seed.
     std::vector<core::directory::item_changes> m_other_replies;
+    std::vector<core::directory::item_changes> m_more_first_replies;
     std::vector<std::uint64_t> m_asked_after;
     std::vector<std::uint64_t> m_used; ///< Revisions that were passed on.
     std::optional<core::time_point> m_first_use;
@@ -126,6 +137,25 @@
     CHECK(node.m_asked_after == std::vector<std::uint64_t>{old_revision});
 }
 
+// A second reply of the first seed ended the wait for the other one, so that
+// items of a seed that was behind were used.
+TEST_CASE("a second reply of the first seed does not count as the reply of "
+          "another one")
+{
+    starting_node node{1};
+    node.m_more_first_replies = {
+        {.m_after = old_revision, .m_revision = old_revision}};
+    net::asio::steady_timer other{node.m_context, 90ms};
+    other.async_wait(
+        [&node](auto const&)
+        {
+            node.m_sync.on_changes("10.0.1.1", all_items(new_revision));
+        });
+    node.run(300ms);
+    REQUIRE_FALSE(node.m_used.empty());
+    CHECK(node.m_used.front() == new_revision);
+}
+
 TEST_CASE("a starting node uses the items of the first seed if the others do "
           "not reply")
 {
--- a/src/libhibiscustide/net/mesh/node_table.cpp
+++ b/src/libhibiscustide/net/mesh/node_table.cpp
@@ -152,7 +152,11 @@
             {.m_node = m_options.m_address,
              .m_incarnation = m_options.m_incarnation},
         .m_numbers = m_numbers,
-        .m_on_changes = m_options.m_on_changes};
+        .m_on_changes = [on_changes = m_options.m_on_changes,
+                         address](core::directory::item_changes&& changes)
+        {
+            on_changes(address, std::move(changes));
+        }};
     node->m_link = std::make_shared<peer_link>(m_context, std::move(options));
     return node;
 }
--- a/src/libhibiscustide/net/mesh/node_table.hpp
+++ b/src/libhibiscustide/net/mesh/node_table.hpp
@@ -55,7 +55,9 @@
     std::uint16_t m_port = 0;        ///< Peer port of every node.
     std::uint64_t m_incarnation = 0; ///< Of this node; new at each start.
     /// Called with the changes that a peer sends.
-    std::function<void(core::directory::item_changes&&)> m_on_changes;
+    std::function<void(
+        std::string const& address, core::directory::item_changes&&)>
+        m_on_changes;
 };
 
 /// The nodes of the fleet by IP address, including this node. A node has the
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -168,33 +168,38 @@
         m_context,
         [this]
         {
-            request_changes_from_next_seed(0);
+            request_changes_from_next_seed("", 0);
             // Makes this node known to the seeds, which then send their status.
             m_status_exchange.send_to_all();
         });
 }
 
 void traffic_thread::request_changes_from_seeds(
-    std::size_t count, std::uint64_t after)
+    std::size_t count, std::string const& excluded, std::uint64_t after)
 {
     asio::post(
         m_context,
-        [this, count, after]
+        [this, count, excluded, after]
         {
             for (std::size_t n = 0; n < count; ++n)
             {
-                request_changes_from_next_seed(after);
+                request_changes_from_next_seed(excluded, after);
             }
         });
 }
 
 // At first one seed is asked at a time, because each one sends all items.
-void traffic_thread::request_changes_from_next_seed(std::uint64_t after)
+void traffic_thread::request_changes_from_next_seed(
+    std::string const& excluded, std::uint64_t after)
 {
     auto const& seeds = m_settings.m_seeds;
     for (std::size_t n = 0; n < seeds.size(); ++n)
     {
         auto const& seed = seeds[m_next_seed++ % seeds.size()];
+        if (seed.m_address == excluded)
+        {
+            continue;
+        }
         auto const node = m_nodes.find_or_add(seed.m_address);
         if (!node->m_is_self)
         {
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -38,7 +38,9 @@
         std::string const& address, bool same_domain, node_status const&)>
         m_on_status;
     /// A peer has sent published changes.
-    std::function<void(core::directory::item_changes&&)> m_on_changes;
+    std::function<void(
+        std::string const& address, core::directory::item_changes&&)>
+        m_on_changes;
     /// A peer requests the changes after a revision. `reply` may be called
     /// later through traffic_thread::reply.
     std::function<void(
@@ -73,8 +75,10 @@
     /// Requests all published items from the next seed.
     void request_changes_from_seeds();
 
-    /// Requests the changes after a revision from the next `count` seeds.
-    void request_changes_from_seeds(std::size_t count, std::uint64_t after);
+    /// Requests the changes after a revision from the next `count` seeds other
+    /// than the one with the address `excluded`.
+    void request_changes_from_seeds(
+        std::size_t count, std::string const& excluded, std::uint64_t after);
 
     /// Sends the requested changes to a peer.
     void reply(
@@ -110,7 +114,8 @@
 private:
     void on_status(std::string const& address, node_status const& status);
     void request_missing_changes();
-    void request_changes_from_next_seed(std::uint64_t after);
+    void request_changes_from_next_seed(
+        std::string const& excluded, std::uint64_t after);
     void apply(directory_update const& update);
 
     asio::io_context m_context{1};
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -125,10 +125,10 @@
                m_traffic.request_changes_from_seeds();
            },
            .m_query_other_seeds =
-               [this](std::uint64_t after)
+               [this](std::string const& first, std::uint64_t after)
            {
                m_traffic.request_changes_from_seeds(
-                   other_seed_count(m_settings), after);
+                   other_seed_count(m_settings), first, after);
            },
            .m_other_seeds = other_seed_count(m_settings),
            .m_is_seed = is_seed(m_settings),
@@ -202,13 +202,15 @@
                 });
         },
         .m_on_changes =
-            [this](core::directory::item_changes&& changes)
+            [this](
+                std::string const& address,
+                core::directory::item_changes&& changes)
         {
             asio::post(
                 m_context,
-                [this, changes = std::move(changes)]
+                [this, address, changes = std::move(changes)]
                 {
-                    m_directory_sync.on_changes(changes);
+                    m_directory_sync.on_changes(address, changes);
                 });
         },
         .m_changes_after =
