Directory: no startup grace after the node's own read

Cause: the startup grace began with the first items, whoever sent them. It is meant for items from a peer, which sends further changes too.

Change: only items from a peer start it.

--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -92,6 +92,10 @@
     if (is_first)
     {
         m_first_sender = address;
+        if (!m_options.m_is_seed)
+        {
+            m_reader_selection.start_grace_period(clock_now());
+        }
     }
     else if (!m_first_sender.empty() && address != m_first_sender)
     {
@@ -255,11 +259,6 @@
 
 void directory_sync::apply(core::directory::item_changes const& changes)
 {
-    bool const is_first = m_replica.revision() == 0 && changes.m_revision > 0;
-    if (is_first && !m_options.m_is_seed)
-    {
-        m_reader_selection.start_grace_period(clock_now());
-    }
     for (auto const& entry : m_replica.apply(changes))
     {
         apply_item(entry);
--- a/src/libhibiscustide/net/mesh/directory_sync_test.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync_test.cpp
@@ -69,16 +69,17 @@
     {
     }
 
-    static mesh::publisher make_publisher()
+    mesh::publisher make_publisher()
     {
         return {
-            .m_read_all = []() -> net::awaitable<mesh::read_outcome>
+            .m_read_all = [this]() -> net::awaitable<mesh::read_outcome>
             {
-                co_return mesh::read_failed{"away"};
+                co_return m_service_outcome;
             },
-            .m_watch = [](std::uint64_t, std::chrono::milliseconds)
+            .m_watch = [this](std::uint64_t, std::chrono::milliseconds)
                 -> net::awaitable<mesh::read_outcome>
             {
+                m_first_watch = m_first_watch.value_or(net::clock_now());
                 co_return mesh::read_failed{"away"};
             },
             .m_decode =
@@ -114,6 +115,9 @@
     std::vector<std::uint64_t> m_asked_after;
     std::vector<std::uint64_t> m_used; ///< Revisions that were passed on.
     std::optional<core::time_point> m_first_use;
+    /// Outcome of a read of all items from the publishing service.
+    mesh::read_outcome m_service_outcome = mesh::read_failed{"away"};
+    std::optional<core::time_point> m_first_watch;
     mesh::directory_sync m_sync;
 };
 
@@ -176,6 +180,29 @@
     CHECK(*node.m_first_use - started_at < 100ms);
 }
 
+// The node waited for a peer's status although no peer had sent the items, and
+// received no change of the first seconds.
+TEST_CASE("a node that has read the service itself watches it without a grace "
+          "period")
+{
+    starting_node node{2};
+    node.m_first_reply = {};
+    node.m_service_outcome = all_items(old_revision);
+    auto const started_at = net::clock_now();
+    node.run(1'000ms);
+    REQUIRE(node.m_first_watch.has_value());
+    CHECK(*node.m_first_watch - started_at < 800ms);
+}
+
+TEST_CASE("a node that has the items from a peer waits for a reader before it "
+          "watches the service")
+{
+    starting_node node{0};
+    node.run(1'000ms);
+    CHECK(node.m_used.front() == old_revision);
+    CHECK_FALSE(node.m_first_watch.has_value());
+}
+
 // All nodes restart together while the publishing service is away: a seed that
 // has started itself has nothing to send.
 TEST_CASE("a starting node has no state if its seeds have none")
