--- a/src/include/hibiscustide/core/json_reader.hpp
+++ b/src/include/hibiscustide/core/json_reader.hpp
@@ -71,6 +71,10 @@
         char const* name, std::uint64_t default_value,
         bounds<std::uint64_t> allowed) const;
 
+    /// Reads a number. Errors are as in required_uint.
+    [[nodiscard]] double required_number(
+        char const* name, bounds<double> allowed) const;
+
     /// Reads a number; returns `default_value` if the field is missing. Errors
     /// are as in uint_or.
     [[nodiscard]] double number_or(
--- a/src/libhibiscustide/core/endpoint.cpp
+++ b/src/libhibiscustide/core/endpoint.cpp
@@ -31,6 +31,26 @@
     return port;
 }
 
+// The network 0 means this machine. The reserved networks and the address of a
+// broadcast follow the multicast networks.
+bool is_connectable_v4(unsigned first_octet) noexcept
+{
+    constexpr unsigned first_multicast_octet = 224;
+    return first_octet != 0 && first_octet < first_multicast_octet;
+}
+
+bool is_connectable_v6(in6_addr const& address) noexcept
+{
+    // A connection to a mapped address goes to its IPv4 part.
+    constexpr std::size_t mapped_part_offset = 12;
+    if (IN6_IS_ADDR_V4MAPPED(&address))
+    {
+        return is_connectable_v4(address.s6_addr[mapped_part_offset]);
+    }
+    return !IN6_IS_ADDR_UNSPECIFIED(&address) &&
+           !IN6_IS_ADDR_MULTICAST(&address) && !IN6_IS_ADDR_LINKLOCAL(&address);
+}
+
 } // namespace
 
 std::optional<endpoint> parse_endpoint(std::string_view text)
@@ -58,19 +78,15 @@
 
 bool is_connectable(endpoint const& value) noexcept
 {
-    constexpr unsigned first_multicast_octet = 224;
     auto const* const text = value.m_address.c_str();
     in6_addr v6{};
     if (inet_pton(AF_INET6, text, &v6) == 1)
     {
-        return value.m_port != 0 && !IN6_IS_ADDR_UNSPECIFIED(&v6) &&
-               !IN6_IS_ADDR_MULTICAST(&v6) && !IN6_IS_ADDR_LINKLOCAL(&v6);
+        return value.m_port != 0 && is_connectable_v6(v6);
     }
-    // The network 0 means this machine. The reserved networks and the address
-    // of a broadcast follow the multicast networks.
     std::array<unsigned char, sizeof(in_addr)> octets{};
     return inet_pton(AF_INET, text, octets.data()) == 1 && value.m_port != 0 &&
-           octets.front() != 0 && octets.front() < first_multicast_octet;
+           is_connectable_v4(octets.front());
 }
 
 std::string to_string(endpoint const& value)
--- a/src/libhibiscustide/core/json_reader.cpp
+++ b/src/libhibiscustide/core/json_reader.cpp
@@ -188,6 +188,17 @@
     return number;
 }
 
+double json_reader::required_number(
+    char const* name, bounds<double> allowed) const
+{
+    if (find(name) == nullptr)
+    {
+        add_error(name, "is missing");
+        return allowed.m_min;
+    }
+    return number_or(name, allowed.m_min, allowed);
+}
+
 double json_reader::number_or(
     char const* name, double default_value, bounds<double> allowed) const
 {
