--- a/src/include/hibiscustide/core/directory/change.hpp
+++ b/src/include/hibiscustide/core/directory/change.hpp
@@ -29,7 +29,7 @@
     bool m_withdrawn = true;
 };
 
-/// The item is invalid. A configuration before it stays in force.
+/// The item is invalid. The previous configuration stays in force.
 struct change_rejected
 {
     field_errors m_errors;
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -321,7 +321,8 @@
             {{"key", entry.m_key},
              {"revision", revision},
              {"errors", core::to_string(rejected->m_errors)}});
-        // A node that starts later does not have the entry before this one.
+        // The target is removed, because a node that starts later never
+        // receives its earlier entry.
         m_state.remove(rejected->m_instance, clock_now());
     }
 }
