--- a/src/libhibiscustide/net/mixed_answers_test.cpp
+++ b/src/libhibiscustide/net/mixed_answers_test.cpp
@@ -656,19 +656,21 @@
     {
         for (std::string const fields : {"", "Id: a\r\nSeal: s\r\n"})
         {
+            std::string interim{"HTTP/1.1 "};
+            interim.append(status).append("\r\n").append(fields);
+            interim.append("\r\n");
             for (auto const pause : {0ms, late})
             {
-                auto const interim =
-                    "HTTP/1.1 " + status + "\r\n" + fields + "\r\n";
-                mixtures.push_back(
-                    {.m_name = status + " " + fields,
-                     .m_replies = {
-                         {.m_id = "a",
-                          .m_pieces =
-                              {{interim + interim + interim},
-                               {final_answer.to_bytes(), pause}},
-                          .m_allowed = {final_answer},
-                          .m_must_succeed = true}}});
+                reply const each{
+                    .m_id = "a",
+                    .m_pieces =
+                        {{interim},
+                         {interim},
+                         {interim},
+                         {final_answer.to_bytes(), pause}},
+                    .m_allowed = {final_answer},
+                    .m_must_succeed = true};
+                mixtures.push_back({.m_name = interim, .m_replies = {each}});
             }
         }
     }
