Parser: fields behind the last chunk are discarded and end no node

Callers of a node lost all their requests when its target sent a line of 70,000 bytes behind the last chunk of an answer: the process ended with signal 6. One request of any client did the same.

Cause: the limit of the head does not cover the fields behind the last chunk. Beast stores them as fields of the head and throws std::length_error for a name or value beyond 16 bits. The exception leaves the read operation, so that no coroutine can catch it. A field behind the last chunk could also pass for one of the head.

Change: message_parser discards these fields (RFC 9110, 6.5), and a field of the head that cannot be stored is an error. It replaces Beast's parsers in http_io, which read the messages of clients, targets, health checks, the store and hibnode's peers.

--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -7,11 +7,11 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "net/embedded_responses.hpp"
+#include "net/message_parser.hpp"
 
 namespace hibiscustide::net
 {
@@ -106,14 +106,14 @@
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, core::duration timeout)
 {
-    http::request_parser<http::string_body> parser;
+    request_parser<http::string_body> parser;
     stream.expires_after(timeout);
     co_return co_await read_message(stream, buffer, limits, parser);
 }
 
 struct request_reader::implementation
 {
-    http::request_parser<http::buffer_body> m_parser;
+    request_parser<http::buffer_body> m_parser;
     std::optional<std::uint64_t> m_body_length;
 };
 
@@ -202,7 +202,7 @@
     message_limits const& limits, core::admission::buffer_quota::share& share,
     bool is_head)
 {
-    http::response_parser<http::string_body> parser;
+    response_parser<http::string_body> parser;
     parser.skip(is_head);
     parser.header_limit(limits.m_max_header_bytes);
     parser.body_limit(limits.m_max_body_bytes);
