Nodes: an exception ends one request or connection, not the process

Change: failure_guard runs the contexts, logs each exception (event 109, handler_failed) and counts it (handler_failures). A request whose handler throws is answered with 500, and its connection is closed if there is no answer. The gate ends a request whose exchange fails as possibly run and frees its slot; a call is removed and cancelled; a connection between nodes is closed, since a message was taken from it in part.

--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -44,6 +44,9 @@
     /// SIGHUP found invalid settings; the previous ones stay (hibmesh). Invalid
     /// settings at the start are written to standard error instead.
     settings_rejected = 108,
+    /// An exception ended a handler, or the connection or request that it
+    /// served. The process goes on.
+    handler_failed = 109,
     /// A release note was applied and is in force.
     note_accepted = 200,
     /// A release note is malformed or not applicable; the fleet in force stays.
--- a/src/libhibiscustide/core/observe/events.cpp
+++ b/src/libhibiscustide/core/observe/events.cpp
@@ -17,6 +17,7 @@
     {event::log_dropped, level::warn, "log_dropped"},
     {event::settings_reloaded, level::info, "settings_reloaded"},
     {event::settings_rejected, level::error, "settings_rejected"},
+    {event::handler_failed, level::error, "handler_failed"},
     {event::note_accepted, level::info, "note_accepted"},
     {event::note_rejected, level::error, "note_rejected"},
     {event::note_conflict, level::error, "note_conflict"},
--- a/src/libhibiscustide/net/body_writer.cpp
+++ b/src/libhibiscustide/net/body_writer.cpp
@@ -1,5 +1,6 @@
 #include "net/body_writer.hpp"
 
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "net/failure_guard.hpp"
+
 namespace hibiscustide::net
 {
 
@@ -33,6 +36,22 @@
 }
 
 awaitable<void> body_writer::run(http_request header)
+{
+    try
+    {
+        co_await write(header);
+    }
+    catch (...)
+    {
+        log_failure("request with a body", std::current_exception());
+        m_stream.close();
+    }
+    m_body->on_change(nullptr);
+    m_has_ended = true;
+    m_end.cancel();
+}
+
+awaitable<void> body_writer::write(http_request& header)
 {
     m_body->on_change(
         [this]
@@ -57,9 +76,6 @@
             co_await m_changed.async_wait(no_throw);
         }
     }
-    m_body->on_change(nullptr);
-    m_has_ended = true;
-    m_end.cancel();
 }
 
 void body_writer::stop()
--- a/src/libhibiscustide/net/body_writer.hpp
+++ b/src/libhibiscustide/net/body_writer.hpp
@@ -42,6 +42,7 @@
     [[nodiscard]] bool has_sent() const noexcept;
 
 private:
+    awaitable<void> write(http_request& header);
     awaitable<bool> write_header(http_request& header);
     awaitable<bool> write_available();
     awaitable<bool> write_piece(std::string_view bytes);
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -2,17 +2,18 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "net/body_writer.hpp"
 #include "net/embedded_responses.hpp"
+#include "net/failure_guard.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net
@@ -89,6 +90,36 @@
     bool m_done = false;
 };
 
+// Removes the hook of a scope, which uses the connection, when the exchange
+// ends, also by an exception.
+class hook_guard
+{
+public:
+    explicit hook_guard(cancel_scope* scope) noexcept
+        : m_scope{scope}
+    {
+    }
+
+    hook_guard(hook_guard const&) = delete;
+    hook_guard& operator=(hook_guard const&) = delete;
+
+    ~hook_guard()
+    {
+        clear();
+    }
+
+    void clear() noexcept
+    {
+        if (m_scope != nullptr)
+        {
+            m_scope->clear();
+        }
+    }
+
+private:
+    cancel_scope* m_scope;
+};
+
 void begin_write(
     beast::tcp_stream& stream, std::shared_ptr<request_write> const& write)
 {
@@ -198,17 +229,15 @@
         co_return *failure;
     }
     auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
+    hook_guard hook{scope};
     // The server may respond before it has read the whole request, so the
     // response is read while the request is being written.
     auto const write = std::make_shared<request_write>(request);
     used->on_sent(id);
     used->m_stream.expires_at(deadline);
     begin_write(used->m_stream, write);
-    auto read = co_await read_matching_response(*used, request, deadline);
-    if (scope != nullptr)
-    {
-        scope->clear();
-    }
+    auto read = co_await read_or_fail(*used, request, deadline);
+    hook.clear();
     if (auto const* const error = std::get_if<beast::error_code>(&read))
     {
         bool const unsent =
@@ -233,15 +262,14 @@
         co_return *failure;
     }
     auto used = std::move(std::get<std::unique_ptr<connection>>(acquired));
+    hook_guard hook{scope};
     used->on_sent(id);
     used->m_stream.expires_at(deadline);
     body_writer writer{used->m_stream, body};
-    asio::co_spawn(m_context, writer.run(header), asio::detached);
-    auto read = co_await read_matching_response(*used, header, deadline);
-    if (scope != nullptr)
-    {
-        scope->clear();
-    }
+    asio::co_spawn(
+        m_context, writer.run(header), log_if_failed{"request with a body"});
+    auto read = co_await read_or_fail(*used, header, deadline);
+    hook.clear();
     if (!writer.is_complete())
     {
         // The server may have responded before it has read the body.
@@ -356,6 +384,25 @@
     co_return std::move(created);
 }
 
+// An exception is an error of the connection, so that the exchange ends like
+// any other one that fails.
+awaitable<std::variant<http_response, beast::error_code>>
+connection_pool::read_or_fail(
+    connection& used, http_request const& request, core::time_point deadline)
+{
+    std::exception_ptr failure;
+    try
+    {
+        co_return co_await read_matching_response(used, request, deadline);
+    }
+    catch (...)
+    {
+        failure = std::current_exception();
+    }
+    log_failure("response of a server", failure);
+    co_return beast::error_code{asio::error::fault};
+}
+
 // Reads the response to the request and skips responses to other requests.
 awaitable<std::variant<http_response, beast::error_code>>
 connection_pool::read_matching_response(
--- a/src/libhibiscustide/net/connection_pool.hpp
+++ b/src/libhibiscustide/net/connection_pool.hpp
@@ -143,6 +143,9 @@
         request_id id, core::duration max_idle);
     [[nodiscard]] bool has_room_for_connection();
     [[nodiscard]] request_id id_of(http_request const& request) const;
+    awaitable<std::variant<http_response, beast::error_code>> read_or_fail(
+        connection& used, http_request const& request,
+        core::time_point deadline);
     awaitable<std::variant<http_response, beast::error_code>>
     read_matching_response(
         connection& used, http_request const& request,
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -1,14 +1,16 @@
 #include "net/http_server.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <map>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
+#include "net/replies.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net
@@ -58,11 +60,27 @@
         return m_next_request - m_next_response;
     }
 
+    [[nodiscard]] bool has_unwritten_responses() const noexcept
+    {
+        return !m_aborted && (m_writing || pending_responses() > 0);
+    }
+
     [[nodiscard]] bool is_busy() const noexcept
     {
         return m_reading || m_writing || pending_responses() > 0;
     }
 
+    // Ends the connection without the responses that are missing.
+    void abort()
+    {
+        m_closing = true;
+        m_aborted = true;
+        cancel_all();
+        m_stream.close();
+        m_response_written.cancel();
+        m_body_room.cancel();
+    }
+
     void cancel_all()
     {
         auto scopes = std::move(m_scopes);
@@ -88,6 +106,61 @@
     bool m_writing = false;
     bool m_discarding = false; ///< The peer may still read the last response.
     bool m_closing = false;    ///< No further request is read.
+    bool m_aborted = false;    ///< Some responses will not be written.
+};
+
+// Ends a connection if the coroutine that writes a response to it fails.
+class http_server::response_guard
+{
+public:
+    explicit response_guard(session& connection) noexcept
+        : m_connection{&connection}
+    {
+    }
+
+    response_guard(response_guard const&) = delete;
+    response_guard& operator=(response_guard const&) = delete;
+
+    ~response_guard()
+    {
+        if (m_connection != nullptr)
+        {
+            m_connection->abort();
+        }
+    }
+
+    void dismiss() noexcept
+    {
+        m_connection = nullptr;
+    }
+
+private:
+    session* m_connection;
+};
+
+// Ends a connection and removes it from its server, also if the coroutine that
+// serves it fails. Its requests are cancelled then.
+class http_server::session_guard
+{
+public:
+    session_guard(http_server& server, session_ptr connection)
+        : m_server{server},
+          m_connection{std::move(connection)}
+    {
+    }
+
+    session_guard(session_guard const&) = delete;
+    session_guard& operator=(session_guard const&) = delete;
+
+    ~session_guard()
+    {
+        m_connection->abort();
+        m_server.m_sessions.erase(m_connection);
+    }
+
+private:
+    http_server& m_server;
+    session_ptr m_connection;
 };
 
 // Reads and discards input for a short time. Closing a socket with unread input
@@ -126,20 +199,18 @@
         return failure;
     }
     auto self = shared_from_this();
-    asio::co_spawn(
-        m_context,
-        [self]() -> awaitable<void>
+    spawn_loop(
+        m_context, "acceptor",
+        [self]
         {
-            co_await self->accept_loop();
-        },
-        asio::detached);
-    asio::co_spawn(
-        m_context,
-        [self]() -> awaitable<void>
+            return self->accept_loop();
+        });
+    spawn_loop(
+        m_context, "close of idle connections",
+        [self]
         {
-            co_await self->close_idle_loop();
-        },
-        asio::detached);
+            return self->close_idle_loop();
+        });
     return std::nullopt;
 }
 
@@ -257,7 +328,7 @@
         {
             co_await self->serve(connection);
         },
-        asio::detached);
+        log_if_failed{"connection of a client"});
 }
 
 // One timer serves all connections. A connection is closed at most a quarter of
@@ -284,6 +355,7 @@
 
 awaitable<void> http_server::serve(session_ptr connection)
 {
+    session_guard const guard{*this, connection};
     bool can_continue = true;
     while (can_continue && (!m_stopped || connection->m_reading) &&
            !connection->m_closing)
@@ -291,7 +363,7 @@
         can_continue = co_await read_next(connection);
     }
     connection->m_closing = true;
-    while (connection->pending_responses() > 0 || connection->m_writing)
+    while (connection->has_unwritten_responses())
     {
         co_await connection->m_response_written.async_wait(no_throw);
     }
@@ -302,8 +374,6 @@
         asio::ip::tcp::socket::shutdown_send, ignored);
     connection->m_discarding = true;
     co_await discard_input(*connection);
-    connection->m_stream.close();
-    m_sessions.erase(connection);
 }
 
 // Reads a request and starts to process it. Returns false if no further request
@@ -320,7 +390,8 @@
         connection->cancel_all();
         co_return false;
     }
-    while (connection->pending_responses() >= m_options.m_max_pipelined)
+    while (!connection->m_closing &&
+           connection->pending_responses() >= m_options.m_max_pipelined)
     {
         co_await connection->m_response_written.async_wait(no_throw);
     }
@@ -521,7 +592,7 @@
         {
             co_await self->respond(connection, sequence, request, body, scope);
         },
-        asio::detached);
+        log_if_failed{"response to a client"});
     return sequence;
 }
 
@@ -533,7 +604,8 @@
     bool const keep_alive = request->keep_alive();
     auto const version = request->version();
     bool const is_head = request->method() == beast::http::verb::head;
-    auto response = co_await handle(*request, body, scope);
+    response_guard guard{*connection};
+    auto response = co_await handle_or_fail(*request, body, scope);
     bool const has_read_body =
         !body || body->current_state() == body_buffer::state::complete;
     response.version(version);
@@ -557,6 +629,26 @@
     {
         co_await write_responses(connection);
     }
+    guard.dismiss();
+}
+
+// The request may have run in part, so that the status promises nothing.
+awaitable<http_response> http_server::handle_or_fail(
+    http_request& request, body_buffer_ptr const& body,
+    std::shared_ptr<cancel_scope> const& scope)
+{
+    std::exception_ptr failure;
+    try
+    {
+        co_return co_await handle(request, body, scope);
+    }
+    catch (...)
+    {
+        failure = std::current_exception();
+    }
+    log_failure("request of a client", failure);
+    co_return text_reply(
+        status::internal_server_error, "the request failed in this node\n");
 }
 
 awaitable<http_response> http_server::handle(
@@ -631,9 +723,11 @@
             m_context,
             [self, connection]() -> awaitable<void>
             {
+                response_guard guard{*connection};
                 co_await self->write_responses(connection);
+                guard.dismiss();
             },
-            asio::detached);
+            log_if_failed{"response to a client"});
     }
 }
 
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -100,6 +100,8 @@
 
 private:
     struct session;
+    class session_guard;
+    class response_guard;
     using session_ptr = std::shared_ptr<session>;
 
     awaitable<void> accept_loop();
@@ -125,6 +127,9 @@
         session_ptr connection, std::uint64_t sequence,
         std::shared_ptr<http_request> request, body_buffer_ptr body,
         std::shared_ptr<cancel_scope> scope);
+    awaitable<http_response> handle_or_fail(
+        http_request& request, body_buffer_ptr const& body,
+        std::shared_ptr<cancel_scope> const& scope);
     awaitable<http_response> handle(
         http_request& request, body_buffer_ptr const& body,
         std::shared_ptr<cancel_scope> const& scope);
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -3,12 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 
 namespace hibiscustide::net::mesh
 {
@@ -66,8 +64,18 @@
 
 void directory_sync::start()
 {
-    asio::co_spawn(m_context, read_loop(), asio::detached);
-    asio::co_spawn(m_context, expire_loop(), asio::detached);
+    spawn_loop(
+        m_context, "reads of published items",
+        [this]
+        {
+            return read_loop();
+        });
+    spawn_loop(
+        m_context, "expiry of targets",
+        [this]
+        {
+            return expire_loop();
+        });
 }
 
 void directory_sync::on_peer(std::string const& address, bool is_reader)
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -1,16 +1,16 @@
 #include "net/mesh/dispatcher.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <hibiscustide/core/retry/retry_after.hpp>
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/headers.hpp"
 #include "net/replies.hpp"
 
@@ -146,9 +146,7 @@
                 active_call->cancel();
             }
         });
-    auto end = co_await new_call->run();
-    scope->clear();
-    m_calls.erase(new_call);
+    auto end = co_await run(new_call, *scope);
     update_usual_work(route, end);
     auto const took = clock_now() - began_at;
     auto const verdict = to_verdict(end.m_result);
@@ -174,6 +172,30 @@
     co_return to_http(std::move(end), fields.m_attempt, times);
 }
 
+// Runs the call and removes it, also if it fails.
+awaitable<call_result> dispatcher::run(
+    std::shared_ptr<call> new_call, cancel_scope& scope)
+{
+    call_result end;
+    std::exception_ptr failure;
+    try
+    {
+        end = co_await new_call->run();
+    }
+    catch (...)
+    {
+        failure = std::current_exception();
+    }
+    scope.clear();
+    m_calls.erase(new_call);
+    if (failure)
+    {
+        new_call->cancel();
+        std::rethrow_exception(failure);
+    }
+    co_return end;
+}
+
 void dispatcher::set_directory(core::directory::directory_ptr const& current)
 {
     bool const is_new =
@@ -215,7 +237,12 @@
 {
     if (!std::exchange(m_ticking, true))
     {
-        asio::co_spawn(m_context, tick_loop(), asio::detached);
+        spawn_loop(
+            m_context, "ticks of calls",
+            [this]
+            {
+                return tick_loop();
+            });
     }
 }
 
@@ -231,12 +258,26 @@
         auto const calls = m_calls;
         for (auto const& each : calls)
         {
-            each->on_tick(now);
+            tick(*each, now);
         }
     }
     m_ticking = false;
 }
 
+// A call that fails does not keep the others from their ticks.
+void dispatcher::tick(call& each, core::time_point now)
+{
+    try
+    {
+        each.on_tick(now);
+    }
+    catch (...)
+    {
+        log_failure("call", std::current_exception());
+        each.cancel();
+    }
+}
+
 call_options dispatcher::make_call_options(
     http_request& request, caller_fields const& fields,
     core::routing::route_table::entry& entry)
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -70,6 +70,9 @@
     };
 
     awaitable<void> tick_loop();
+    static void tick(call& each, core::time_point now);
+    awaitable<call_result> run(
+        std::shared_ptr<call> new_call, cancel_scope& scope);
     void start_ticking();
     [[nodiscard]] call_options make_call_options(
         http_request& request, caller_fields const& fields,
--- a/src/libhibiscustide/net/mesh/frame_stream.cpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.cpp
@@ -5,10 +5,10 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/mesh/codec.hpp"
 #include "net/socket.hpp"
 
@@ -47,7 +47,10 @@
         {
             co_await self->read_loop();
         },
-        asio::detached);
+        [self](std::exception_ptr const& error)
+        {
+            self->close_if_failed(error);
+        });
 }
 
 void frame_stream::send(message const& value)
@@ -95,7 +98,10 @@
         {
             co_await self->write_loop();
         },
-        asio::detached);
+        [self](std::exception_ptr const& error)
+        {
+            self->close_if_failed(error);
+        });
 }
 
 void frame_stream::close()
@@ -252,6 +258,17 @@
     return true;
 }
 
+// The message that caused an exception has been taken from the stream in part,
+// so that the messages behind it cannot be read.
+void frame_stream::close_if_failed(std::exception_ptr const& error)
+{
+    if (error)
+    {
+        log_failure("connection to a node", error);
+        close_on_error();
+    }
+}
+
 void frame_stream::close_on_error()
 {
     if (!std::exchange(m_open, false))
--- a/src/libhibiscustide/net/mesh/frame_stream.hpp
+++ b/src/libhibiscustide/net/mesh/frame_stream.hpp
@@ -4,6 +4,7 @@
 #define HIBISCUSTIDE_NET_MESH_FRAME_STREAM_HPP
 
 #include <deque>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -75,6 +76,7 @@
     [[nodiscard]] bool handle_frames();
     [[nodiscard]] bool handle_frame(
         frame_header const& header, std::string_view bytes);
+    void close_if_failed(std::exception_ptr const& error);
     void close_on_error();
 
     asio::ip::tcp::socket m_socket;
--- a/src/libhibiscustide/net/mesh/incoming_bodies.cpp
+++ b/src/libhibiscustide/net/mesh/incoming_bodies.cpp
@@ -3,10 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 
 namespace hibiscustide::net::mesh
 {
@@ -71,7 +69,12 @@
     }
     if (m_scheduler.size() > 0 && !std::exchange(m_granting, true))
     {
-        asio::co_spawn(m_context, grant_loop(), asio::detached);
+        spawn_loop(
+            m_context, "grants for bodies",
+            [this]
+            {
+                return grant_loop();
+            });
     }
 }
 
--- a/src/libhibiscustide/net/mesh/peer_link.cpp
+++ b/src/libhibiscustide/net/mesh/peer_link.cpp
@@ -5,12 +5,12 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/socket.hpp"
 
 namespace hibiscustide::net::mesh
@@ -203,7 +203,14 @@
         {
             co_await self->connect_loop();
         },
-        asio::detached);
+        [self](std::exception_ptr const& error)
+        {
+            if (error)
+            {
+                log_failure("connecting to a node", error);
+                self->m_connecting = false;
+            }
+        });
 }
 
 void peer_link::start_monitoring()
@@ -219,7 +226,15 @@
         {
             co_await self->monitor_loop();
         },
-        asio::detached);
+        [self](std::exception_ptr const& error)
+        {
+            if (error)
+            {
+                log_failure("monitor of a node", error);
+                self->m_monitoring = false;
+                self->start_monitoring();
+            }
+        });
 }
 
 // Tries to connect to the peer, and repeats a failed try as long as a request
--- a/src/libhibiscustide/net/mesh/peer_server.cpp
+++ b/src/libhibiscustide/net/mesh/peer_server.cpp
@@ -5,11 +5,11 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/mesh/codec.hpp"
 #include "net/socket.hpp"
 
@@ -80,8 +80,18 @@
     {
         return failure;
     }
-    asio::co_spawn(m_context, accept_loop(), asio::detached);
-    asio::co_spawn(m_context, cleanup_loop(), asio::detached);
+    spawn_loop(
+        m_context, "acceptor for peers",
+        [this]
+        {
+            return accept_loop();
+        });
+    spawn_loop(
+        m_context, "cleanup of results",
+        [this]
+        {
+            return cleanup_loop();
+        });
     return std::nullopt;
 }
 
@@ -398,7 +408,9 @@
 void peer_server::on_closed(session_ptr const& closed_session)
 {
     m_bodies.fail_all_of(closed_session->m_incarnation);
-    asio::co_spawn(m_context, await_reconnect(closed_session), asio::detached);
+    asio::co_spawn(
+        m_context, await_reconnect(closed_session),
+        log_if_failed{"wait for a sender"});
 }
 
 awaitable<void> peer_server::await_reconnect(session_ptr closed_session)
--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -4,10 +4,8 @@
 #include <array>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/mesh/codec.hpp"
 
 namespace hibiscustide::net::mesh
@@ -80,8 +78,18 @@
     {
         return core::to_string(listen) + ": " + error.message();
     }
-    asio::co_spawn(m_context, receive_loop(), asio::detached);
-    asio::co_spawn(m_context, send_loop(), asio::detached);
+    spawn_loop(
+        m_context, "status receiver",
+        [this]
+        {
+            return receive_loop();
+        });
+    spawn_loop(
+        m_context, "status sender",
+        [this]
+        {
+            return send_loop();
+        });
     return std::nullopt;
 }
 
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -4,12 +4,12 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <hibiscustide/core/hash.hpp>
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/mesh/target_gate_internal.hpp"
 
 namespace hibiscustide::net::mesh
@@ -83,7 +83,12 @@
 
 void target_gate::start()
 {
-    asio::co_spawn(m_context, probe_loop(), asio::detached);
+    spawn_loop(
+        m_context, "probes",
+        [this]
+        {
+            return probe_loop();
+        });
 }
 
 target_gate::ticket target_gate::run(
@@ -361,7 +366,7 @@
         {
             co_await exchange(active);
         },
-        asio::detached);
+        log_if_failed{"exchange with the target"});
 }
 
 void target_gate::finish(
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -124,6 +124,7 @@
 
 private:
     struct active_request;
+    class exchange_guard;
 
     awaitable<void> probe_loop();
     awaitable<void> probe_once();
@@ -183,6 +184,8 @@
     ticket m_next_ticket = 1;
     core::duration m_suspended_time; ///< Of the VM, at the last check.
     bool m_draining = false;
+    /// Expires with the gate, for coroutines that are destroyed after it.
+    std::shared_ptr<target_gate*> m_self = std::make_shared<target_gate*>(this);
 };
 
 } // namespace hibiscustide::net::mesh
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -2,9 +2,14 @@
 #include "net/mesh/target_gate.hpp"
 
 #include <algorithm>
+#include <exception>
+#include <memory>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/headers.hpp"
 #include "net/mesh/target_gate_internal.hpp"
 
@@ -40,8 +45,68 @@
 
 } // namespace
 
+// Ends a request as possibly run if the coroutine that exchanges it with the
+// target ends without a result.
+class target_gate::exchange_guard
+{
+public:
+    exchange_guard(target_gate& gate, std::shared_ptr<active_request> active)
+        : m_context{gate.m_context},
+          m_gate{gate.m_self},
+          m_active{std::move(active)}
+    {
+    }
+
+    exchange_guard(exchange_guard const&) = delete;
+    exchange_guard& operator=(exchange_guard const&) = delete;
+
+    ~exchange_guard()
+    {
+        if (m_active && !m_gate.expired())
+        {
+            finish_later();
+        }
+    }
+
+    void dismiss() noexcept
+    {
+        m_active.reset();
+    }
+
+private:
+    // The end of a request calls handlers, which may throw.
+    void finish_later() noexcept
+    {
+        try
+        {
+            asio::post(
+                m_context,
+                [weak = m_gate, active = m_active]
+                {
+                    if (auto const gate = weak.lock())
+                    {
+                        (*gate)->finish(
+                            active,
+                            {.m_outcome = outcome::may_have_run,
+                             .m_reason = core::reason::connection_broken,
+                             .m_reached_target = true});
+                    }
+                });
+        }
+        catch (...)
+        {
+            log_failure("end of a request", std::current_exception());
+        }
+    }
+
+    asio::io_context& m_context;
+    std::weak_ptr<target_gate*> m_gate;
+    std::shared_ptr<active_request> m_active;
+};
+
 awaitable<void> target_gate::exchange(std::shared_ptr<active_request> active)
 {
+    exchange_guard guard{*this, active};
     auto const request = to_http(*active);
     core::duration const max_idle =
         active->m_request.m_idempotent
@@ -59,7 +124,9 @@
         exchanged = co_await m_pool.exchange(
             request, active->m_deadline, &active->m_scope, max_idle);
     }
-    finish(active, to_result(*active, std::move(exchanged)));
+    auto result = to_result(*active, std::move(exchanged));
+    guard.dismiss();
+    finish(active, std::move(result));
 }
 
 http_request target_gate::to_http(active_request const& active) const
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/replies.hpp"
 
 namespace hibiscustide::net::mesh
@@ -147,7 +148,7 @@
     m_gate.start();
     m_thread = std::thread{[this]
                            {
-                               m_context.run();
+                               run_guarded(m_context);
                            }};
     return std::nullopt;
 }
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -4,8 +4,6 @@
 #include <csignal>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,6 +11,7 @@
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/http_server.hpp"
 #include "net/mesh/directory_sync.hpp"
 #include "net/mesh/graceful_stop.hpp"
@@ -157,8 +156,18 @@
     m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
     record_stop_signals();
-    asio::co_spawn(m_context, wait_for_signals(), asio::detached);
-    asio::co_spawn(m_context, flush_loop(), asio::detached);
+    spawn_loop(
+        m_context, "signals",
+        [this]
+        {
+            return wait_for_signals();
+        });
+    spawn_loop(
+        m_context, "flush",
+        [this]
+        {
+            return flush_loop();
+        });
     m_directory_sync.start();
     log_event(
         event::node_started,
@@ -374,7 +383,7 @@
 
 void mesh_node::run()
 {
-    m_implementation->m_context.run();
+    run_guarded(m_implementation->m_context);
     m_implementation->m_traffic.stop();
     flush_event_log();
 }
--- a/src/libhibiscustide/net/message_parser.hpp
+++ b/src/libhibiscustide/net/message_parser.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <limits>
 
 #include <boost/beast/core/error.hpp>
@@ -22,7 +23,9 @@
     std::numeric_limits<std::uint16_t>::max() - 2;
 
 /// Parses a message. Fields behind the last chunk are discarded. A field of the
-/// head that cannot be stored is an error, `http::error::header_limit`.
+/// head that cannot be stored is an error, `http::error::header_limit`. No
+/// input causes an exception, which would leave the operation that reads the
+/// message and skip the coroutine that waits for it.
 template <bool IsRequest, typename Body>
 class message_parser : public beast::http::parser<IsRequest, Body>
 {
@@ -43,7 +46,14 @@
             error = beast::http::error::header_limit;
             return;
         }
-        this->get().insert(name, name_string, value);
+        try
+        {
+            this->get().insert(name, name_string, value);
+        }
+        catch (std::exception const&)
+        {
+            error = beast::http::error::buffer_overflow;
+        }
     }
 };
 
--- a/src/libhibiscustide/net/metrics.cpp
+++ b/src/libhibiscustide/net/metrics.cpp
@@ -8,6 +8,7 @@
 #include <boost/histogram/make_histogram.hpp>
 #include <boost/histogram/storage_adaptor.hpp>
 
+#include "net/failure_guard.hpp"
 #include "net/replies.hpp"
 
 namespace hibiscustide::net
@@ -137,7 +138,9 @@
             << "hibiscustide_" << counter_names[n] << "_total "
             << m_counters[n].load(std::memory_order_relaxed) << '\n';
     }
-    out << "# TYPE hibiscustide_not_answered_total counter\n";
+    out << "# TYPE hibiscustide_handler_failures_total counter\n"
+        << "hibiscustide_handler_failures_total " << failure_count() << '\n'
+        << "# TYPE hibiscustide_not_answered_total counter\n";
     for (std::size_t n = 0; n < max_reasons; ++n)
     {
         auto const count = m_reasons[n].load(std::memory_order_relaxed);
@@ -161,6 +164,7 @@
         value[std::string{counter_names[n]}] =
             Json::UInt64{m_counters[n].load(std::memory_order_relaxed)};
     }
+    value["handler_failures"] = Json::UInt64{failure_count()};
     auto& not_answered = value["not_answered"] = Json::Value{Json::objectValue};
     for (std::size_t n = 0; n < max_reasons; ++n)
     {
--- a/src/libhibiscustide/net/node.cpp
+++ b/src/libhibiscustide/net/node.cpp
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +14,7 @@
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 #include "net/gate.hpp"
 #include "net/http_server.hpp"
 #include "net/metrics.hpp"
@@ -153,10 +153,30 @@
     }
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
-    asio::co_spawn(m_context, wait_for_signal(), asio::detached);
-    asio::co_spawn(m_context, probe_loop(), asio::detached);
-    asio::co_spawn(m_context, vm_list_loop(), asio::detached);
-    asio::co_spawn(m_context, tick_loop(), asio::detached);
+    spawn_loop(
+        m_context, "signals",
+        [this]
+        {
+            return wait_for_signal();
+        });
+    spawn_loop(
+        m_context, "probes",
+        [this]
+        {
+            return probe_loop();
+        });
+    spawn_loop(
+        m_context, "VM list",
+        [this]
+        {
+            return vm_list_loop();
+        });
+    spawn_loop(
+        m_context, "ticks",
+        [this]
+        {
+            return tick_loop();
+        });
     m_notes.start();
     log_event(
         event::node_started,
@@ -380,7 +400,7 @@
 
 void node::run()
 {
-    m_implementation->m_context.run();
+    run_guarded(m_implementation->m_context);
     for (auto const& thread : m_implementation->m_traffic_threads)
     {
         thread->stop();
--- a/src/libhibiscustide/net/note_sync.cpp
+++ b/src/libhibiscustide/net/note_sync.cpp
@@ -5,13 +5,13 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <hibiscustide/core/json_reader.hpp>
 #include <hibiscustide/net/event_log.hpp>
 
 #include "net/clock.hpp"
+#include "net/failure_guard.hpp"
 
 namespace hibiscustide::net
 {
@@ -144,8 +144,18 @@
 
 void note_sync::start()
 {
-    asio::co_spawn(m_context, read_loop(), asio::detached);
-    asio::co_spawn(m_context, peer_poll_loop(), asio::detached);
+    spawn_loop(
+        m_context, "reads of release notes",
+        [this]
+        {
+            return read_loop();
+        });
+    spawn_loop(
+        m_context, "polls of peers",
+        [this]
+        {
+            return peer_poll_loop();
+        });
 }
 
 note_sync::fleet_ptr const& note_sync::in_force() const noexcept
@@ -174,7 +184,9 @@
     }
     if (in_force()->revision() > before)
     {
-        asio::co_spawn(m_context, push_notes(before), asio::detached);
+        asio::co_spawn(
+            m_context, push_notes(before),
+            log_if_failed{"push of release notes"});
     }
     return state_after(in_force()->revision());
 }
@@ -278,7 +290,9 @@
     }
     if (in_force()->revision() > before)
     {
-        asio::co_spawn(m_context, push_notes(before), asio::detached);
+        asio::co_spawn(
+            m_context, push_notes(before),
+            log_if_failed{"push of release notes"});
     }
     co_return in_force()->revision() >= latest->m_revision;
 }
--- a/src/libhibiscustide/net/traffic_thread.cpp
+++ b/src/libhibiscustide/net/traffic_thread.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "net/failure_guard.hpp"
 #include "net/headers.hpp"
 #include "net/replies.hpp"
 #include "net/rpc.hpp"
@@ -101,7 +102,7 @@
     }
     m_thread = std::thread{[this]
                            {
-                               m_context.run();
+                               run_guarded(m_context);
                            }};
     return std::nullopt;
 }
