Connections: every buffer has a limit, and requests share a quota

An answer whose chunk size line does not end grew the node beside that target over the memory of its VM until the route's timeout; the requests of all its clients ended with it. Clients could do the same.

Cause: the quota of answers counted bodies only. The parser leaves an unfinished size line of a chunk, an extension or the fields behind the last chunk in the buffer of the connection, which had no limit and doubles when it is full. Requests had no quota at all, and the limit of a head is a setting.

Change: a buffer takes as many bytes as a head may have. A client's buffer begins at 8 KB and grows within a quota of 16 MB for all requests of a node, which also counts heads and buffered bodies; a request that does not fit gets 503 with Retry-After.

--- a/src/include/hibiscustide/core/admission/buffer_quota.hpp
+++ b/src/include/hibiscustide/core/admission/buffer_quota.hpp
@@ -16,10 +16,10 @@
     std::size_t m_min_bytes_each = 131'072;
 };
 
-/// Memory for the answers that a node is receiving.
+/// Memory for messages that a node is receiving.
 ///
-/// A faulty server may send an answer that never ends, on each of its
-/// connections. Short answers are still received while long ones use up the
+/// A faulty peer may send a message that never ends, on each of its
+/// connections. Short messages are still received while long ones use up the
 /// quota. All buffers together take at most m_max_total_bytes plus
 /// m_min_bytes_each for each of them. Not thread-safe.
 class buffer_quota
@@ -42,6 +42,9 @@
         /// stays as it is.
         [[nodiscard]] bool grow_to(std::size_t bytes) noexcept;
 
+        /// Frees the memory beyond `bytes`.
+        void shrink_to(std::size_t bytes) noexcept;
+
     private:
         buffer_quota& m_quota;
         std::size_t m_bytes = 0;
--- a/src/libhibiscustide/core/admission/buffer_quota.cpp
+++ b/src/libhibiscustide/core/admission/buffer_quota.cpp
@@ -41,4 +41,13 @@
     return fits;
 }
 
+void buffer_quota::share::shrink_to(std::size_t bytes) noexcept
+{
+    if (bytes < m_bytes)
+    {
+        m_quota.m_used_bytes -= m_bytes - bytes;
+        m_bytes = bytes;
+    }
+}
+
 } // namespace hibiscustide::core::admission
--- a/src/libhibiscustide/core/admission/buffer_quota_test.cpp
+++ b/src/libhibiscustide/core/admission/buffer_quota_test.cpp
@@ -32,3 +32,17 @@
     first.reset();
     CHECK(quota.used_bytes() == 0);
 }
+
+TEST_CASE("a share that shrinks leaves its memory to others")
+{
+    buffer_quota quota{{.m_max_total_bytes = 1'000, .m_min_bytes_each = 100}};
+    buffer_quota::share first{quota};
+    CHECK(first.grow_to(900));
+    first.shrink_to(950);
+    CHECK(quota.used_bytes() == 900);
+    first.shrink_to(200);
+    CHECK(quota.used_bytes() == 200);
+    buffer_quota::share second{quota};
+    CHECK(second.grow_to(800));
+    CHECK_FALSE(first.grow_to(201));
+}
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -32,7 +32,7 @@
     {
         return core::reason::response_timeout;
     }
-    if (error == beast::http::error::body_limit)
+    if (is_too_large(error))
     {
         return core::reason::answer_too_large;
     }
@@ -153,8 +153,11 @@
 
 struct connection_pool::connection
 {
-    connection(asio::io_context& context, std::shared_ptr<std::size_t> open)
+    connection(
+        asio::io_context& context, std::size_t max_buffer_bytes,
+        std::shared_ptr<std::size_t> open)
         : m_stream{context},
+          m_buffer{max_buffer_bytes},
           m_open_count{std::move(open)}
     {
         ++*m_open_count;
@@ -348,7 +351,8 @@
     {
         co_return exchange_failure{.m_reason = core::reason::queue_full};
     }
-    auto created = std::make_unique<connection>(m_context, m_open_count);
+    auto created = std::make_unique<connection>(
+        m_context, max_unparsed_bytes(m_options.m_limits), m_open_count);
     auto& stream = created->m_stream;
     auto const remote = to_asio(m_options.m_remote);
     beast::error_code error;
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -22,6 +22,10 @@
 namespace http = beast::http;
 
 constexpr std::size_t initial_read_bytes = 2'048;
+
+// Least limit of a buffer. Other code reads up to 4,096 bytes at once into an
+// empty buffer.
+constexpr std::size_t min_buffer_limit_bytes = 8'192;
 constexpr unsigned http_1_1 = 11;
 
 // Reads the rest of a message into the parser. The caller has set the expiry
@@ -80,6 +84,12 @@
 
 } // namespace
 
+std::size_t max_unparsed_bytes(message_limits const& limits) noexcept
+{
+    return std::max<std::size_t>(
+        limits.m_max_header_bytes, min_buffer_limit_bytes);
+}
+
 awaitable<beast::error_code> wait_for_data(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     std::optional<core::duration> timeout)
@@ -115,6 +125,7 @@
 {
     request_parser<http::buffer_body> m_parser;
     std::optional<std::uint64_t> m_body_length;
+    std::size_t m_head_size = 0;
 };
 
 request_reader::request_reader(message_limits const& limits)
@@ -134,7 +145,7 @@
     stream.expires_after(timeout);
     auto const [error, count] =
         co_await http::async_read_header(stream, buffer, parser, no_throw);
-    static_cast<void>(count);
+    m_implementation->m_head_size += count;
     if (!error && !parser.chunked())
     {
         m_implementation->m_body_length =
@@ -176,6 +187,11 @@
     return m_implementation->m_body_length;
 }
 
+std::size_t request_reader::head_size() const noexcept
+{
+    return m_implementation->m_head_size;
+}
+
 http_request request_reader::take_request()
 {
     http_request request;
@@ -272,6 +288,13 @@
     co_return write_result{.m_error = error, .m_written = count};
 }
 
+bool is_too_large(beast::error_code error) noexcept
+{
+    return error == http::error::body_limit ||
+           error == http::error::header_limit ||
+           error == http::error::buffer_overflow;
+}
+
 bool is_parse_error(beast::error_code error) noexcept
 {
     return error.category() ==
@@ -294,6 +317,10 @@
     {
         return status::request_timeout;
     }
+    if (error == asio::error::no_memory)
+    {
+        return status::service_unavailable;
+    }
     return is_parse_error(error) ? status::bad_request : status::unknown;
 }
 
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -28,6 +28,13 @@
     std::size_t m_max_body_bytes = 1'048'576;
 };
 
+/// The number of bytes that a connection needs to hold before they are parsed:
+/// a head, the size line of a chunk or the fields behind the last chunk. A
+/// message with a longer part is refused, so that the buffer of a connection
+/// takes no more than this, whatever its peer sends.
+[[nodiscard]] std::size_t max_unparsed_bytes(
+    message_limits const& limits) noexcept;
+
 /// Waits until data arrives or the stream fails, at most for `timeout` if it is
 /// given. Returns at once if the buffer already contains data.
 awaitable<beast::error_code> wait_for_data(
@@ -49,7 +56,9 @@
     request_reader(request_reader const&) = delete;
     request_reader& operator=(request_reader const&) = delete;
 
-    /// Reads the request line and the header fields within `timeout`.
+    /// Reads the request line and the header fields within `timeout`. After
+    /// the error `http::error::buffer_overflow`, the caller may raise the
+    /// limit of the buffer and call the function again; read_body likewise.
     awaitable<beast::error_code> read_header(
         beast::tcp_stream& stream, beast::flat_buffer& buffer,
         core::duration timeout);
@@ -66,6 +75,9 @@
     /// Length of the body; nothing if it is sent in chunks.
     [[nodiscard]] std::optional<std::uint64_t> body_length() const;
 
+    /// Length of the request line and the header fields.
+    [[nodiscard]] std::size_t head_size() const noexcept;
+
     /// Returns the request without its body. May be called once.
     [[nodiscard]] http_request take_request();
 
@@ -81,8 +93,9 @@
 /// Reads a complete response before `deadline` and skips interim responses.
 /// `is_head` states that it is the response to a HEAD request and so has no
 /// body. Fails with `http::error::body_limit` if the body exceeds the limits or
-/// its share of a quota, and with `http::error::bad_value` if the head contains
-/// a second status line.
+/// its share of a quota, with `http::error::header_limit` or
+/// `http::error::buffer_overflow` if another part is too long, and with
+/// `http::error::bad_value` if the head contains a second status line.
 awaitable<std::variant<http_response, beast::error_code>> read_response(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     message_limits const& limits, core::admission::buffer_quota::share& share,
@@ -105,13 +118,16 @@
     beast::tcp_stream& stream, http_response const& response,
     core::duration timeout);
 
+/// Whether a part of the message exceeds its size limit.
+[[nodiscard]] bool is_too_large(beast::error_code error) noexcept;
+
 /// Whether the bytes that were read are not a message in the protocol. The end
 /// of the connection within a message is no such error.
 [[nodiscard]] bool is_parse_error(beast::error_code error) noexcept;
 
 /// Returns the status of the response to a request that could not be read: 431,
-/// 413, 408 or 400. Returns `unknown` if the connection has ended, so that no
-/// response can be sent.
+/// 413, 408, 400, or 503 if there is no memory for it. Returns `unknown` if the
+/// connection has ended, so that no response can be sent.
 [[nodiscard]] status status_for_read_error(beast::error_code error) noexcept;
 
 } // namespace hibiscustide::net
--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -35,6 +35,24 @@
 // Largest number of bytes of a body that are read at once.
 constexpr std::size_t body_read_bytes = 8'192;
 
+// Limit of the buffer of a connection whose request needs no more. It is not
+// counted in the quota of requests.
+constexpr std::size_t first_buffer_bytes = 8'192;
+
+// A request whose head and body take less is not counted in the quota, since
+// the data of any request in progress takes as much.
+constexpr std::size_t uncounted_request_bytes = 4'096;
+
+// A head is held as it was received, as fields that are forwarded, and in the
+// messages that are sent to nodes or to the target.
+constexpr std::size_t copies_of_head = 3;
+
+// Of a request for which there is no memory. Others end within that time.
+constexpr char const* retry_after_s = "1";
+
+// Capacity for a body for which the usual capacity does not fit into the quota.
+constexpr std::size_t small_body_capacity = 16'384;
+
 bool is_continue_expected(http_request const& request)
 {
     return beast::iequals(request[field::expect], "100-continue");
@@ -46,8 +64,10 @@
 // waits in m_responses until all earlier responses have been written.
 struct http_server::session
 {
-    explicit session(asio::ip::tcp::socket socket)
+    session(asio::ip::tcp::socket socket, core::admission::buffer_quota& quota)
         : m_stream{std::move(socket)},
+          m_buffer{first_buffer_bytes},
+          m_buffer_share{quota},
           m_response_written{m_stream.get_executor()},
           m_body_room{m_stream.get_executor()}
     {
@@ -70,6 +90,17 @@
         return m_reading || m_writing || pending_responses() > 0;
     }
 
+    // Frees the additional memory that an earlier request needed.
+    void shrink_buffer()
+    {
+        if (m_buffer.size() == 0 && m_buffer.max_size() > first_buffer_bytes)
+        {
+            m_buffer.shrink_to_fit();
+            m_buffer.max_size(first_buffer_bytes);
+            m_buffer_share.shrink_to(0);
+        }
+    }
+
     // Ends the connection without the responses that are missing.
     void abort()
     {
@@ -93,6 +124,7 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    core::admission::buffer_quota::share m_buffer_share;
     /// Cancelled after each written response, to resume waiting coroutines.
     asio::steady_timer m_response_written;
     /// Cancelled when the body that is being read has room or is not wanted.
@@ -109,6 +141,41 @@
     bool m_aborted = false;    ///< Some responses will not be written.
 };
 
+// A request that was read, or whose body is still being read.
+struct http_server::received_request
+{
+    received_request(
+        http_request&& message, core::admission::buffer_quota& quota)
+        : m_message{std::move(message)},
+          m_memory{quota}
+    {
+    }
+
+    // Reserves memory for the request and its body. If there is not enough for
+    // the usual capacity of a body, the body gets a small one. Returns false if
+    // there is no memory for the request.
+    [[nodiscard]] bool reserve(
+        std::size_t head_size, std::optional<std::uint64_t> body_length)
+    {
+        auto const head = copies_of_head * head_size;
+        auto const body = std::min<std::uint64_t>(
+            body_length.value_or(UINT64_MAX), m_body_capacity);
+        if (head + body <= uncounted_request_bytes ||
+            m_memory.grow_to(head + body))
+        {
+            return true;
+        }
+        m_body_capacity = small_body_capacity;
+        return body > small_body_capacity &&
+               m_memory.grow_to(head + small_body_capacity);
+    }
+
+    http_request m_message;
+    body_buffer_ptr m_body; // Null if the message contains the body.
+    std::size_t m_body_capacity = body_buffer_options{}.m_capacity;
+    core::admission::buffer_quota::share m_memory;
+};
+
 // Ends a connection if the coroutine that writes a response to it fails.
 class http_server::response_guard
 {
@@ -186,7 +253,10 @@
       m_options{std::move(options)},
       m_handler{std::move(handler)},
       m_malformed{std::move(malformed)},
-      m_acceptor{context}
+      m_acceptor{context},
+      m_request_quota{
+          {.m_max_total_bytes = m_options.m_max_request_bytes,
+           .m_min_bytes_each = 0}}
 {
 }
 
@@ -319,7 +389,8 @@
     }
     beast::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    auto connection = std::make_shared<session>(std::move(socket));
+    auto connection =
+        std::make_shared<session>(std::move(socket), m_request_quota);
     m_sessions.insert(connection);
     auto self = shared_from_this();
     asio::co_spawn(
@@ -381,6 +452,7 @@
 awaitable<bool> http_server::read_next(session_ptr const& connection)
 {
     auto& stream = connection->m_stream;
+    connection->shrink_buffer();
     auto const wait_error =
         co_await wait_for_data(stream, connection->m_buffer, std::nullopt);
     if (wait_error)
@@ -420,6 +492,8 @@
 
 awaitable<bool> http_server::read_whole(session_ptr const& connection)
 {
+    connection->m_buffer.max_size(std::max(
+        max_unparsed_bytes(m_options.m_limits), connection->m_buffer.size()));
     auto read = co_await read_request(
         connection->m_stream, connection->m_buffer, m_options.m_limits,
         m_options.m_read_timeout);
@@ -432,21 +506,57 @@
     bool const keep_alive = request.keep_alive();
     // The response may be written before the next statement runs.
     connection->m_reading = false;
-    start_response(connection, std::move(request), nullptr);
+    start_response(
+        connection, std::make_shared<received_request>(
+                        std::move(request), m_request_quota));
     co_return keep_alive;
 }
 
+// Repeats a read for which the buffer is too small after its limit was raised.
+template <typename Read>
+awaitable<beast::error_code> http_server::read_growing(
+    session& connection, Read read)
+{
+    auto& buffer = connection.m_buffer;
+    auto const limit = max_unparsed_bytes(m_options.m_limits);
+    auto error = co_await read();
+    while (error == beast::http::error::buffer_overflow &&
+           buffer.max_size() < limit)
+    {
+        auto const size = std::min(2 * buffer.max_size(), limit);
+        if (!connection.m_buffer_share.grow_to(size))
+        {
+            co_return beast::error_code{asio::error::no_memory};
+        }
+        buffer.max_size(size);
+        error = co_await read();
+    }
+    co_return error;
+}
+
 awaitable<bool> http_server::read_streaming(session_ptr const& connection)
 {
     request_reader reader{m_options.m_limits};
-    auto const error = co_await reader.read_header(
-        connection->m_stream, connection->m_buffer, m_options.m_read_timeout);
+    auto const read_header = [&]
+    {
+        return reader.read_header(
+            connection->m_stream, connection->m_buffer,
+            m_options.m_read_timeout);
+    };
+    auto const error = co_await read_growing(*connection, read_header);
     if (error)
     {
         reject(connection, status_for_read_error(error));
         co_return false;
     }
-    auto request = reader.take_request();
+    auto const received = std::make_shared<received_request>(
+        reader.take_request(), m_request_quota);
+    if (!received->reserve(reader.head_size(), reader.body_length()))
+    {
+        reject(connection, status::service_unavailable);
+        co_return false;
+    }
+    auto& request = received->m_message;
     bool const keep_alive = request.keep_alive();
     bool const must_permit = is_continue_expected(request);
     bool const is_short =
@@ -461,11 +571,14 @@
             co_return false;
         }
         connection->m_reading = false;
-        start_response(connection, std::move(request), nullptr);
+        start_response(connection, received);
         co_return keep_alive;
     }
     auto const body = std::make_shared<body_buffer>(body_buffer_options{
-        .m_length = reader.body_length(), .m_keep_for_restart = true});
+        .m_length = reader.body_length(),
+        .m_capacity = received->m_body_capacity,
+        .m_keep_for_restart = true});
+    received->m_body = body;
     body->on_room(
         [weak = std::weak_ptr<session>{connection}]
         {
@@ -474,7 +587,7 @@
                 open_connection->m_body_room.cancel();
             }
         });
-    auto const sequence = start_response(connection, std::move(request), body);
+    auto const sequence = start_response(connection, received);
     bool is_permitted = true;
     if (must_permit)
     {
@@ -496,9 +609,13 @@
     beast::error_code error;
     while (!reader.is_done() && !error)
     {
-        error = co_await reader.read_body(
-            connection.m_stream, connection.m_buffer, m_options.m_read_timeout,
-            max_whole_body, bytes);
+        auto const read = [&]
+        {
+            return reader.read_body(
+                connection.m_stream, connection.m_buffer,
+                m_options.m_read_timeout, max_whole_body, bytes);
+        };
+        error = co_await read_growing(connection, read);
     }
     co_return error;
 }
@@ -555,10 +672,14 @@
             continue;
         }
         bytes.clear();
-        auto const error = co_await reader.read_body(
-            connection->m_stream, connection->m_buffer,
-            m_options.m_read_timeout, std::min(body->room(), body_read_bytes),
-            bytes);
+        auto const read = [&]
+        {
+            return reader.read_body(
+                connection->m_stream, connection->m_buffer,
+                m_options.m_read_timeout,
+                std::min(body->room(), body_read_bytes), bytes);
+        };
+        auto const error = co_await read_growing(*connection, read);
         body->append(bytes);
         if (error)
         {
@@ -578,34 +699,33 @@
 // Starts to process a request that was read, with or without its body. Returns
 // the number of the request on its connection.
 std::uint64_t http_server::start_response(
-    session_ptr const& connection, http_request&& message,
-    body_buffer_ptr const& body)
+    session_ptr const& connection, request_ptr received)
 {
-    auto request = std::make_shared<http_request>(std::move(message));
     auto scope = std::make_shared<cancel_scope>();
     auto const sequence = connection->m_next_request++;
     connection->m_scopes.emplace(sequence, scope);
     auto self = shared_from_this();
     asio::co_spawn(
         m_context,
-        [self, connection, sequence, request, body, scope]() -> awaitable<void>
+        [self, connection, sequence, received, scope]() -> awaitable<void>
         {
-            co_await self->respond(connection, sequence, request, body, scope);
+            co_await self->respond(connection, sequence, received, scope);
         },
         log_if_failed{"response to a client"});
     return sequence;
 }
 
 awaitable<void> http_server::respond(
-    session_ptr connection, std::uint64_t sequence,
-    std::shared_ptr<http_request> request, body_buffer_ptr body,
+    session_ptr connection, std::uint64_t sequence, request_ptr received,
     std::shared_ptr<cancel_scope> scope)
 {
-    bool const keep_alive = request->keep_alive();
-    auto const version = request->version();
-    bool const is_head = request->method() == beast::http::verb::head;
+    auto& request = received->m_message;
+    auto const& body = received->m_body;
+    bool const keep_alive = request.keep_alive();
+    auto const version = request.version();
+    bool const is_head = request.method() == beast::http::verb::head;
     response_guard guard{*connection};
-    auto response = co_await handle_or_fail(*request, body, scope);
+    auto response = co_await handle_or_fail(request, body, scope);
     bool const has_read_body =
         !body || body->current_state() == body_buffer::state::complete;
     response.version(version);
@@ -713,6 +833,10 @@
     }
     auto response = m_malformed(code);
     response.keep_alive(false);
+    if (code == status::service_unavailable)
+    {
+        response.set(field::retry_after, retry_after_s);
+    }
     response.prepare_payload();
     connection->m_responses.emplace(
         connection->m_next_request++, std::move(response));
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -19,6 +19,7 @@
 #include "net/cancel_scope.hpp"
 #include "net/http_io.hpp"
 #include "net/http_types.hpp"
+#include <hibiscustide/core/admission/buffer_quota.hpp>
 #include <hibiscustide/core/endpoint.hpp>
 
 namespace hibiscustide::net
@@ -36,6 +37,11 @@
     /// Maximum number of requests of one connection that are processed
     /// concurrently. Responses are sent in the order of the requests.
     std::size_t m_max_pipelined = 1;
+    /// For the requests of all connections of a streaming_handler: unparsed
+    /// bytes, heads and the parts of bodies that are not passed on. Each
+    /// connection has a small buffer in addition. A request that does not fit
+    /// is refused with status 503.
+    std::size_t m_max_request_bytes = 16'777'216;
 };
 
 /// Handles one request. The scope is cancelled if the caller disconnects before
@@ -100,9 +106,11 @@
 
 private:
     struct session;
+    struct received_request;
     class session_guard;
     class response_guard;
     using session_ptr = std::shared_ptr<session>;
+    using request_ptr = std::shared_ptr<received_request>;
 
     awaitable<void> accept_loop();
     awaitable<void> close_idle_loop();
@@ -112,6 +120,8 @@
     awaitable<bool> read_next(session_ptr const& connection);
     awaitable<bool> read_whole(session_ptr const& connection);
     awaitable<bool> read_streaming(session_ptr const& connection);
+    template <typename Read>
+    awaitable<beast::error_code> read_growing(session& connection, Read read);
     awaitable<beast::error_code> read_short_body(
         session& connection, request_reader& reader, std::string& bytes);
     awaitable<bool> permit_body(
@@ -121,11 +131,9 @@
         session_ptr const& connection, request_reader& reader,
         body_buffer_ptr const& body);
     std::uint64_t start_response(
-        session_ptr const& connection, http_request&& request,
-        body_buffer_ptr const& body);
+        session_ptr const& connection, request_ptr received);
     awaitable<void> respond(
-        session_ptr connection, std::uint64_t sequence,
-        std::shared_ptr<http_request> request, body_buffer_ptr body,
+        session_ptr connection, std::uint64_t sequence, request_ptr received,
         std::shared_ptr<cancel_scope> scope);
     awaitable<http_response> handle_or_fail(
         http_request& request, body_buffer_ptr const& body,
@@ -141,6 +149,7 @@
     request_handler m_handler;
     malformed_handler m_malformed;
     asio::ip::tcp::acceptor m_acceptor;
+    core::admission::buffer_quota m_request_quota;
     std::unordered_set<std::shared_ptr<session>> m_sessions;
     bool m_draining = false;
     bool m_stopped = false; ///< No further request is read.
--- a/src/libhibiscustide/net/oversized_messages_test.cpp
+++ b/src/libhibiscustide/net/oversized_messages_test.cpp
@@ -198,6 +198,7 @@
 {
     while (body->current_state() == net::body_buffer::state::incomplete)
     {
+        body->release_before(body->size());
         asio::steady_timer timer{
             co_await asio::this_coro::executor, std::chrono::milliseconds{2}};
         co_await timer.async_wait(no_throw);
@@ -205,6 +206,15 @@
     co_return net::text_reply(net::status::ok, "done\n");
 };
 
+net::streaming_handler streaming_handler_without_body()
+{
+    return [](net::http_request&, net::body_buffer_ptr const&,
+              std::shared_ptr<net::cancel_scope> const&)
+    {
+        return answer_ok();
+    };
+}
+
 std::string const long_value = "X-Rest: " + std::string(long_bytes, 'x');
 std::string const long_name = std::string(long_bytes, 'x') + ": rest";
 
@@ -264,3 +274,124 @@
         CHECK(std::holds_alternative<net::exchange_failure>(result));
     }
 }
+
+namespace
+{
+
+std::string const piece(10'000, 'a');
+std::string const zeros(10'000, '0');
+std::string const filler =
+    "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
+std::string const chunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+// Each part of a message with a body in chunks that may not end, behind the
+// given head without its last line.
+std::vector<sent_bytes> endless_parts_behind(std::string const& head)
+{
+    return {
+        {head + "X: ", piece},
+        {head, filler},
+        {head, piece},
+        {head + chunked, zeros},
+        {head + chunked + "1", zeros},
+        {head + chunked + "1;a=", piece},
+        {head + chunked + "1;a=\"", piece},
+        {head + chunked + "1\r\nx\r\n", zeros},
+        {head + chunked + "0;", piece},
+        {head + chunked + "0\r\nX: ", piece},
+        {head + chunked + "0\r\n", piece},
+        {head + chunked + "0\r\n", filler},
+        {head + chunked, "2710\r\n" + piece + "\r\n"}};
+}
+
+} // namespace
+
+// A target sent a chunk size line without end. The node kept it in a buffer
+// without a limit until the timeout, and was ended for its memory.
+TEST_CASE("a response is ended if a part of it does not end")
+{
+    std::string const head = "HTTP/1.1 200 OK\r\n";
+    auto responses = endless_parts_behind(head);
+    responses.push_back({"HTTP/1.1 200 ", piece});
+    responses.push_back({"", piece});
+    responses.push_back({"", "HTTP/1.1 100 Continue\r\n\r\n"});
+    responses.push_back({"", "HTTP/1.1 103 Early\r\nX: " + piece + "\r\n\r\n"});
+    responses.push_back({head + "Connection: close\r\n\r\n", piece});
+    responses.push_back({head + "Content-Length: 5000000000\r\n\r\n", piece});
+    for (std::size_t n = 0; n < responses.size(); ++n)
+    {
+        CAPTURE(n);
+        auto const began = std::chrono::steady_clock::now();
+        auto const result = exchange_with(responses[n]);
+        CHECK(std::holds_alternative<net::exchange_failure>(result));
+        CHECK(std::chrono::steady_clock::now() - began < 4s);
+    }
+}
+
+// Clients can do the same.
+TEST_CASE("a request is refused if a part of it does not end")
+{
+    auto requests = endless_parts_behind("POST / HTTP/1.1\r\nHost: x\r\n");
+    requests.push_back({"GET /", piece});
+    requests.push_back({"", piece});
+    for (std::size_t n = 0; n < requests.size(); ++n)
+    {
+        CAPTURE(n);
+        CHECK(answer_to(whole_handler, requests[n]).starts_with("HTTP/1.1 4"));
+        CHECK(
+            answer_to(streaming_handler, requests[n]).starts_with("HTTP/1.1 "));
+    }
+}
+
+// Heads that do not end take the memory for requests, and a request that needs
+// more than its first buffer is refused until they are gone.
+TEST_CASE("a long head for which there is no memory is refused with 503, and "
+          "short requests are answered")
+{
+    constexpr std::uint16_t port = 28'438;
+    constexpr int clients = 4;
+    asio::io_context context;
+    auto const server = std::make_shared<net::http_server>(
+        context,
+        net::http_server_options{
+            .m_listen = {.m_address = "127.0.0.1", .m_port = port},
+            .m_max_request_bytes = 57'344},
+        streaming_handler_without_body(), net::malformed_reply);
+    REQUIRE_FALSE(server->start());
+    auto const exchange = [&](tcp::socket& client, std::string const& bytes)
+    {
+        asio::write(client, asio::buffer(bytes));
+        context.restart();
+        context.run_for(50ms);
+        std::string answer(4'096, '\0');
+        net::beast::error_code error;
+        client.non_blocking(true);
+        answer.resize(client.read_some(asio::buffer(answer), error));
+        return answer;
+    };
+    auto const connect = [&]
+    {
+        tcp::socket client{context};
+        client.connect({asio::ip::address_v4::loopback(), port});
+        return client;
+    };
+    std::string const long_head =
+        "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(12'000, 'a');
+    std::vector<tcp::socket> incomplete;
+    for (int n = 0; n < clients; ++n)
+    {
+        incomplete.push_back(connect());
+        auto const answer = exchange(incomplete.back(), long_head);
+        CHECK(answer.starts_with("HTTP/1.1 503 ") == (n == clients - 1));
+    }
+    auto other = connect();
+    CHECK(exchange(other, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+              .starts_with("HTTP/1.1 200 "));
+    incomplete.clear();
+    context.restart();
+    context.run_for(50ms);
+    auto last = connect();
+    CHECK(exchange(last, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+              .starts_with("HTTP/1.1 200 "));
+    CHECK(exchange(last, long_head + "\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
