Requests: a header field of any length within the limit is served

After max_header_bytes was raised to 131,072, one request with a field of 70,000 bytes, which the limit permits, ended each node that read it.

Change: fields that the message cannot store are kept beside it, in their order, pass through the messages between nodes like others, and are written behind the other fields. They are removed like others if Connection names them or if the node sets a field of the same name. A Host, Connection or other field that decides about the connection or the route is refused with 431 if it is that long. A limit below the library's was the alternative; it would refuse proper requests.

--- a/src/libhibiscustide/net/body_writer.cpp
+++ b/src/libhibiscustide/net/body_writer.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "net/failure_guard.hpp"
+#include "net/http_io.hpp"
 
 namespace hibiscustide::net
 {
@@ -115,6 +116,14 @@
     {
         message.content_length(*length);
     }
+    if (!header.m_long_fields.empty())
+    {
+        auto const text = head_text(message, header.m_long_fields);
+        auto const [error, count] =
+            co_await asio::async_write(m_stream, asio::buffer(text), no_throw);
+        m_sent_bytes += count;
+        co_return !error;
+    }
     http::request_serializer<http::empty_body> serializer{message};
     auto const [error, count] =
         co_await http::async_write_header(m_stream, serializer, no_throw);
--- a/src/libhibiscustide/net/connection_pool.cpp
+++ b/src/libhibiscustide/net/connection_pool.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -85,6 +86,7 @@
     }
 
     http_request m_request;
+    std::string m_text; // Of a request with long fields.
     beast::error_code m_error;
     std::size_t m_written = 0;
     bool m_done = false;
@@ -123,14 +125,20 @@
 void begin_write(
     beast::tcp_stream& stream, std::shared_ptr<request_write> const& write)
 {
-    beast::http::async_write(
-        stream, write->m_request,
-        [write](beast::error_code error, std::size_t written)
-        {
-            write->m_done = true;
-            write->m_error = error;
-            write->m_written = written;
-        });
+    auto const on_end = [write](beast::error_code error, std::size_t written)
+    {
+        write->m_done = true;
+        write->m_error = error;
+        write->m_written = written;
+    };
+    auto const& request = write->m_request;
+    if (request.m_long_fields.empty())
+    {
+        beast::http::async_write(stream, request, on_end);
+        return;
+    }
+    write->m_text = head_text(request, request.m_long_fields) + request.body();
+    asio::async_write(stream, asio::buffer(write->m_text), on_end);
 }
 
 } // namespace
--- a/src/libhibiscustide/net/headers.hpp
+++ b/src/libhibiscustide/net/headers.hpp
@@ -43,6 +43,30 @@
 /// only.
 void remove_hop_by_hop(beast::http::fields& fields);
 
+/// Removes the hop-by-hop fields of a request, long ones included.
+void remove_hop_by_hop(http_request& request);
+
+/// Whether nodes interpret the field: it concerns one connection, or the length
+/// or the route of the message. Such a field may not be a long one.
+[[nodiscard]] bool is_interpreted(field name) noexcept;
+
+/// Whether a message can store the field. A field behind a long one of the same
+/// name is a long one too, so that their order is kept.
+[[nodiscard]] bool can_store(
+    header_fields const& long_fields, std::string_view name,
+    std::string_view value) noexcept;
+
+/// Appends a field to the long ones, without white space around its value.
+void append(
+    header_fields& long_fields, std::string_view name, std::string_view value);
+
+/// Removes the long fields of a request that have the name of one of `fields`.
+void remove_long_fields(
+    http_request& request, beast::http::fields const& fields);
+
+/// Adds a field to a request. Fields of the same name stay.
+void add(http_request& request, std::string_view name, std::string_view value);
+
 /// Removes the fields of this system, except the deadline. Clients outside the
 /// system must not set them.
 void remove_internal(beast::http::fields& fields);
--- a/src/libhibiscustide/net/http_io.cpp
+++ b/src/libhibiscustide/net/http_io.cpp
@@ -1,9 +1,11 @@
 #include "net/http_io.hpp"
 
 #include <algorithm>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
@@ -28,26 +30,6 @@
 constexpr std::size_t min_buffer_limit_bytes = 8'192;
 constexpr unsigned http_1_1 = 11;
 
-// Reads the rest of a message into the parser. The caller has set the expiry
-// time of the stream.
-template <typename Parser>
-auto read_message(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    message_limits const& limits, Parser& parser)
-    -> awaitable<std::variant<typename Parser::value_type, beast::error_code>>
-{
-    parser.header_limit(limits.m_max_header_bytes);
-    parser.body_limit(limits.m_max_body_bytes);
-    auto const [error, count] =
-        co_await http::async_read(stream, buffer, parser, no_throw);
-    static_cast<void>(count);
-    if (error)
-    {
-        co_return error;
-    }
-    co_return parser.release();
-}
-
 // The parser accepts any three digits as a status.
 constexpr unsigned min_status = 100;
 
@@ -117,8 +99,19 @@
     message_limits const& limits, core::duration timeout)
 {
     request_parser<http::string_body> parser;
+    parser.header_limit(limits.m_max_header_bytes);
+    parser.body_limit(limits.m_max_body_bytes);
     stream.expires_after(timeout);
-    co_return co_await read_message(stream, buffer, limits, parser);
+    auto const [error, count] =
+        co_await http::async_read(stream, buffer, parser, no_throw);
+    static_cast<void>(count);
+    if (error)
+    {
+        co_return error;
+    }
+    http_request request{parser.release()};
+    request.m_long_fields = parser.take_long_fields();
+    co_return request;
 }
 
 struct request_reader::implementation
@@ -195,7 +188,9 @@
 http_request request_reader::take_request()
 {
     http_request request;
-    request.base() = std::move(m_implementation->m_parser.get().base());
+    auto& parser = m_implementation->m_parser;
+    request.base() = std::move(parser.get().base());
+    request.m_long_fields = parser.take_long_fields();
     return request;
 }
 
@@ -273,11 +268,38 @@
     core::time_point deadline)
 {
     stream.expires_at(deadline);
+    if (!request.m_long_fields.empty())
+    {
+        auto const text =
+            head_text(request, request.m_long_fields) + request.body();
+        auto const [error, count] =
+            co_await asio::async_write(stream, asio::buffer(text), no_throw);
+        co_return write_result{.m_error = error, .m_written = count};
+    }
     auto const [error, count] =
         co_await http::async_write(stream, request, no_throw);
     co_return write_result{.m_error = error, .m_written = count};
 }
 
+std::string head_text(
+    beast::http::request_header<> const& header,
+    header_fields const& long_fields)
+{
+    constexpr std::string_view line_end = "\r\n";
+    std::ostringstream stream;
+    stream << header;
+    auto text = stream.str();
+    // The empty line follows the long fields.
+    text.resize(text.size() - line_end.size());
+    for (auto const& each : long_fields)
+    {
+        text += each.m_name + ": " + each.m_value;
+        text += line_end;
+    }
+    text += line_end;
+    return text;
+}
+
 awaitable<write_result> write_response(
     beast::tcp_stream& stream, http_response const& response,
     core::duration timeout)
--- a/src/libhibiscustide/net/http_io.hpp
+++ b/src/libhibiscustide/net/http_io.hpp
@@ -113,6 +113,11 @@
     beast::tcp_stream& stream, http_request const& request,
     core::time_point deadline);
 
+/// Returns the head of a request as it is sent, with its long fields.
+[[nodiscard]] std::string head_text(
+    beast::http::request_header<> const& header,
+    header_fields const& long_fields);
+
 /// Writes a response within `timeout`.
 awaitable<write_result> write_response(
     beast::tcp_stream& stream, http_response const& response,
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -315,6 +315,13 @@
                  .m_value = std::string{each.value()}});
         }
     }
+    for (auto& each : request.m_long_fields)
+    {
+        if (!m_protocol.m_is_hop_by_hop(each.m_name))
+        {
+            sent.m_fields.push_back(std::move(each));
+        }
+    }
     sent.m_body = std::move(request.body());
     return {
         .m_request = std::move(sent),
@@ -375,6 +382,13 @@
         response.result(result.m_status);
         for (auto const& each : result.m_fields)
         {
+            // A gate accepts no longer field of its target.
+            if (!headers::can_store({}, each.m_name, each.m_value))
+            {
+                return make_error_reply(
+                    status::bad_gateway, attempt,
+                    core::reason::answer_mismatched, {});
+            }
             response.insert(each.m_name, each.m_value);
         }
         response.body() = std::move(result.m_body);
--- a/src/libhibiscustide/net/mesh/messages.hpp
+++ b/src/libhibiscustide/net/mesh/messages.hpp
@@ -15,19 +15,13 @@
 #include <hibiscustide/core/routing/placement.hpp>
 #include <hibiscustide/core/verdict.hpp>
 
-namespace hibiscustide::net::mesh
-{
+#include "net/http_types.hpp"
 
-/// An HTTP header field that is forwarded unchanged.
-struct header_field
+namespace hibiscustide::net::mesh
 {
-    std::string m_name;
-    std::string m_value;
-
-    friend auto operator<=>(header_field const&, header_field const&) = default;
-};
 
-using header_fields = std::vector<header_field>;
+using net::header_field;
+using net::header_fields;
 
 /// The first message on a connection, sent by both sides.
 struct hello
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -138,7 +138,7 @@
     request.target(source.m_path);
     for (auto const& entry : source.m_fields)
     {
-        request.insert(entry.m_name, entry.m_value);
+        headers::add(request, entry.m_name, entry.m_value);
     }
     request.body() = source.m_body;
     target_fields const fields{
@@ -147,6 +147,13 @@
         .m_caller = source.m_caller,
         .m_deadline_left = time_left_until(active.m_deadline)};
     m_protocol.m_write_target(request, fields);
+    if (!request.m_long_fields.empty())
+    {
+        // The fields that a node sets replace all of the same name.
+        http_request set_here;
+        m_protocol.m_write_target(set_here, fields);
+        headers::remove_long_fields(request, set_here);
+    }
     bool const has_body =
         !active.m_body &&
         (!source.m_body.empty() || source.m_method == "POST" ||
