Settings: a figure with a default value keeps no node from starting

A node whose platform gave addr_reuse_s as 2.5 ended at each start with status 2, so that its VM was lost until an operator came.

Cause: address-reuse-s and retry-window-s were read as whole numbers, and every number had a range that no page of the platform states. Any failed check ended the process.

Change: figures may have fractions and exponents. A setting with a default value gets it if it cannot be read, and the nearest allowed value if it is out of range; event 110 says so, also after SIGHUP. Settings without a default value still end the process. The same in the published configuration: a fraction or a large number in a timeout, weight, limit or number of attempts rejected all of it.

--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -40,7 +40,7 @@
     std::string m_retry_window_s = "10";
     std::string m_retry_slack = "10";
     std::string m_stop_limit_ms = "5300";
-    std::string m_grace_s; ///< If not empty, determines the stop limit.
+    std::string m_grace_s; ///< If it is a number, determines the stop limit.
     std::string m_link_mbps = "1000";
 };
 
@@ -76,11 +76,11 @@
     double m_cold_slack = 0;
     /// Least time from a target's end until its address may belong to another
     /// service.
-    std::chrono::seconds m_address_reuse{0};
+    std::chrono::milliseconds m_address_reuse{0};
     /// Largest number of second attempts, as a multiple of the requests in one
     /// window.
     double m_retry_ratio = 0.2;
-    std::chrono::seconds m_retry_window{10}; ///< Length of the window.
+    std::chrono::milliseconds m_retry_window{10'000}; ///< Length of the window.
     /// Second attempts of the fleet in one window in addition to the ratio.
     double m_retry_slack = 0;
     std::chrono::milliseconds m_stop_limit{0}; ///< From SIGTERM to exit.
@@ -91,9 +91,23 @@
         default;
 };
 
-/// Checks every setting; returns one error for each invalid setting, with the
-/// name of its flag.
-[[nodiscard]] value_or_errors<mesh_settings> check_settings(
+/// Settings, and what is wrong with those that have another value than the text
+/// states.
+struct checked_mesh_settings
+{
+    mesh_settings m_settings;
+    field_errors m_replaced;
+
+    friend auto operator<=>(
+        checked_mesh_settings const&, checked_mesh_settings const&) = default;
+};
+
+/// Checks every setting. A setting that has a default value gets it if its text
+/// cannot be read, and the nearest allowed value if its number is out of range:
+/// a node that does not start for such a setting is lost until an operator
+/// corrects it. Returns one error for each invalid setting without a default
+/// value. Errors have the names of flags.
+[[nodiscard]] value_or_errors<checked_mesh_settings> check_settings(
     mesh_settings_text const& text);
 
 } // namespace hibiscustide::core::config
--- a/src/include/hibiscustide/core/config/setting_checker.hpp
+++ b/src/include/hibiscustide/core/config/setting_checker.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <string>
 
@@ -61,15 +62,65 @@
         char const* flag, std::string const& value,
         bounds<std::uint64_t> allowed)
     {
-        return parse_number(flag, value, allowed, "whole number");
+        std::uint64_t parsed = 0;
+        auto const* const end = value.data() + value.size();
+        auto const [last, error] = std::from_chars(value.data(), end, parsed);
+        bool const is_valid = error == std::errc{} && last == end &&
+                              parsed >= allowed.m_min &&
+                              parsed <= allowed.m_max;
+        if (!is_valid)
+        {
+            add_error(
+                flag, "'" + value + "' is not a whole number between " +
+                          std::to_string(allowed.m_min) + " and " +
+                          std::to_string(allowed.m_max));
+            return allowed.m_min;
+        }
+        return parsed;
     }
 
-    /// Parses a number that may have a fraction. Errors are as in
-    /// whole_number.
-    [[nodiscard]] double real_number(
-        char const* flag, std::string const& value, bounds<double> allowed)
+    /// Parses a number that may have a fraction. If the text is empty or is not
+    /// a number, returns `default_value`; for a number outside the bounds, the
+    /// nearest allowed one. Both are recorded in replaced().
+    [[nodiscard]] double number_or_default(
+        char const* flag, std::string const& value, double default_value,
+        bounds<double> allowed)
     {
-        return parse_number(flag, value, allowed, "number");
+        double parsed = 0;
+        auto const* const end = value.data() + value.size();
+        auto const [last, error] = std::from_chars(value.data(), end, parsed);
+        bool const is_number =
+            error == std::errc{} && last == end && std::isfinite(parsed);
+        if (!is_number)
+        {
+            add_replaced(flag, value, "a number", default_value);
+            return default_value;
+        }
+        auto const nearest = std::clamp(parsed, allowed.m_min, allowed.m_max);
+        if (parsed < nearest || parsed > nearest)
+        {
+            add_replaced(flag, value, "an allowed number", nearest);
+        }
+        return nearest;
+    }
+
+    /// Returns the text, or `default_value` if the text is not in `names`,
+    /// which is recorded in replaced().
+    template <typename Names>
+    [[nodiscard]] std::string one_of_or_default(
+        char const* flag, std::string const& value, char const* default_value,
+        Names const& names)
+    {
+        if (std::find(names.begin(), names.end(), value) != names.end())
+        {
+            return value;
+        }
+        m_replaced.push_back(
+            {.m_source = "settings",
+             .m_field = flag,
+             .m_reason = "'" + value + "' is not one of " + join(names) +
+                         "; used: " + default_value});
+        return default_value;
     }
 
     /// Returns the text. A text that is not in `names` is an error and is
@@ -82,13 +133,7 @@
         {
             return value;
         }
-        std::string allowed;
-        for (auto const& name : names)
-        {
-            allowed += allowed.empty() ? "" : ", ";
-            allowed += name;
-        }
-        add_error(flag, "'" + value + "' is not one of " + allowed);
+        add_error(flag, "'" + value + "' is not one of " + join(names));
         return value;
     }
 
@@ -98,6 +143,13 @@
         return m_errors;
     }
 
+    /// Returns what is wrong with the settings for which another value is used,
+    /// and that value.
+    [[nodiscard]] field_errors const& replaced() const
+    {
+        return m_replaced;
+    }
+
     /// Adds an error for a setting.
     void add_error(char const* flag, std::string const& reason)
     {
@@ -106,29 +158,31 @@
     }
 
 private:
-    template <typename Number>
-    [[nodiscard]] Number parse_number(
-        char const* flag, std::string const& value, bounds<Number> allowed,
-        std::string const& kind)
+    template <typename Names>
+    [[nodiscard]] static std::string join(Names const& names)
     {
-        Number parsed{};
-        auto const* const end = value.data() + value.size();
-        auto const [last, error] = std::from_chars(value.data(), end, parsed);
-        bool const is_valid = error == std::errc{} && last == end &&
-                              parsed >= allowed.m_min &&
-                              parsed <= allowed.m_max;
-        if (!is_valid)
+        std::string joined;
+        for (auto const& name : names)
         {
-            add_error(
-                flag, "'" + value + "' is not a " + kind + " between " +
-                          std::to_string(allowed.m_min) + " and " +
-                          std::to_string(allowed.m_max));
-            return allowed.m_min;
+            joined += joined.empty() ? "" : ", ";
+            joined += name;
         }
-        return parsed;
+        return joined;
+    }
+
+    void add_replaced(
+        char const* flag, std::string const& value, char const* expected,
+        double used)
+    {
+        m_replaced.push_back(
+            {.m_source = "settings",
+             .m_field = flag,
+             .m_reason = "'" + value + "' is not " + expected +
+                         "; used: " + std::to_string(used)});
     }
 
     field_errors m_errors;
+    field_errors m_replaced;
 };
 
 } // namespace hibiscustide::core::config
--- a/src/include/hibiscustide/core/json_reader.hpp
+++ b/src/include/hibiscustide/core/json_reader.hpp
@@ -71,6 +71,20 @@
         char const* name, std::uint64_t default_value,
         bounds<std::uint64_t> allowed) const;
 
+    /// Reads a number as an unsigned integer. A fraction is rounded down, but a
+    /// positive number not to 0 and not below the lower bound. A number above
+    /// the upper bound becomes that bound. A missing field, a field of another
+    /// type and other numbers are errors, for which the lower bound is
+    /// returned.
+    [[nodiscard]] std::uint64_t required_rounded(
+        char const* name, bounds<std::uint64_t> allowed) const;
+
+    /// Like required_rounded; returns `default_value` if the field is missing
+    /// or an error.
+    [[nodiscard]] std::uint64_t rounded_or(
+        char const* name, std::uint64_t default_value,
+        bounds<std::uint64_t> allowed) const;
+
     /// Reads a number. Errors are as in required_uint.
     [[nodiscard]] double required_number(
         char const* name, bounds<double> allowed) const;
--- a/src/include/hibiscustide/core/observe/events.hpp
+++ b/src/include/hibiscustide/core/observe/events.hpp
@@ -47,6 +47,9 @@
     /// An exception ended a handler, or the connection or request that it
     /// served. The process goes on.
     handler_failed = 109,
+    /// A setting cannot be read or is out of range, and another value is used
+    /// (hibmesh).
+    setting_replaced = 110,
     /// A release note was applied and is in force.
     note_accepted = 200,
     /// A release note is malformed or not applicable; the fleet in force stays.
--- a/src/include/hibiscustide/core/retry/windowed_retry_budget.hpp
+++ b/src/include/hibiscustide/core/retry/windowed_retry_budget.hpp
@@ -15,8 +15,8 @@
 /// Parameters of a windowed_retry_budget.
 struct windowed_retry_budget_options
 {
-    double m_ratio = 0.2;              ///< Retries for each request.
-    std::chrono::seconds m_window{10}; ///< Length of the window.
+    double m_ratio = 0.2;                        ///< Retries for each request.
+    duration m_window{std::chrono::seconds{10}}; ///< Length of the window.
     double m_slack = 0; ///< This node's share of the extra retries per window.
 };
 
--- a/src/libhibiscustide/core/config/mesh_settings.cpp
+++ b/src/libhibiscustide/core/config/mesh_settings.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <string_view>
+#include <utility>
 
 #include <hibiscustide/core/admission/stop_window.hpp>
 #include <hibiscustide/core/config/setting_checker.hpp>
@@ -18,17 +20,28 @@
 constexpr auto log_levels =
     std::to_array<std::string_view>({"debug", "info", "warn", "error"});
 
-constexpr bounds<std::uint64_t> probe_ms_bounds{5, 10'000};
-constexpr bounds<std::uint64_t> window_s_bounds{1, 3'600};
-constexpr bounds<std::uint64_t> reuse_s_bounds{0, 3'600};
-constexpr bounds<std::uint64_t> stop_ms_bounds{0, 600'000};
 constexpr bounds<std::uint64_t> port_bounds{1, 65'535};
-constexpr bounds<double> grace_s_bounds{0.0, 600.0};
-constexpr bounds<double> ratio_bounds{0.0, 1.0};
-constexpr bounds<double> overage_bounds{0.1, 10.0};
-constexpr bounds<double> slack_bounds{0.0, 1e6};
+constexpr bounds<double> probe_ms_bounds{5, 10'000};
+constexpr bounds<double> window_s_bounds{1, 86'400};
+constexpr bounds<double> reuse_s_bounds{0, 86'400};
+constexpr bounds<double> stop_ms_bounds{0, 86'400'000};
+constexpr bounds<double> grace_s_bounds{0, 86'400};
+constexpr bounds<double> ratio_bounds{0, 1};
+constexpr bounds<double> overage_bounds{0.1, 10};
+constexpr bounds<double> slack_bounds{0, 1e6};
 constexpr bounds<double> link_mbps_bounds{0.1, 1e6};
 
+std::chrono::milliseconds from_ms(double number)
+{
+    return std::chrono::milliseconds{std::llround(number)};
+}
+
+std::chrono::milliseconds from_s(double number)
+{
+    constexpr double ms_of_s = 1'000;
+    return from_ms(number * ms_of_s);
+}
+
 struct port_range
 {
     std::uint16_t m_first = 0;
@@ -78,24 +91,41 @@
 std::chrono::milliseconds read_stop_limit(
     setting_checker& checker, mesh_settings_text const& text)
 {
-    std::chrono::milliseconds const limit{checker.whole_number(
-        "--stop-limit-ms", text.m_stop_limit_ms, stop_ms_bounds)};
+    mesh_settings_text const defaults;
+    auto const default_ms = std::stod(defaults.m_stop_limit_ms);
+    auto const limit = from_ms(checker.number_or_default(
+        "--stop-limit-ms", text.m_stop_limit_ms, default_ms, stop_ms_bounds));
     if (text.m_grace_s.empty())
     {
         return limit;
     }
-    std::chrono::duration<double> const grace{
-        checker.real_number("--grace-s", text.m_grace_s, grace_s_bounds)};
+    // There is no grace period of this length.
+    constexpr double no_grace_s = -1;
+    auto const grace_s = checker.number_or_default(
+        "--grace-s", text.m_grace_s, no_grace_s, grace_s_bounds);
+    if (grace_s < grace_s_bounds.m_min)
+    {
+        return limit;
+    }
     return std::chrono::duration_cast<std::chrono::milliseconds>(
-        admission::stop_limit_for(std::chrono::duration_cast<duration>(grace)));
+        admission::stop_limit_for(from_s(grace_s)));
 }
 
 } // namespace
 
-value_or_errors<mesh_settings> check_settings(mesh_settings_text const& text)
+value_or_errors<checked_mesh_settings> check_settings(
+    mesh_settings_text const& text)
 {
-    using std::chrono::milliseconds;
     setting_checker checker;
+    mesh_settings_text const defaults;
+    auto const number = [&checker, &text, &defaults](
+                            char const* flag,
+                            std::string mesh_settings_text::*member,
+                            bounds<double> allowed)
+    {
+        return checker.number_or_default(
+            flag, text.*member, std::stod(defaults.*member), allowed);
+    };
     auto const peer_address =
         checker.required_text("--peer-address", text.m_peer_address);
     auto const ports = read_ports(checker, text.m_peer_ports);
@@ -114,28 +144,32 @@
         .m_publisher =
             checker.required_endpoint("--publisher", text.m_publisher),
         .m_seeds = read_seeds(checker, text.m_seeds),
-        .m_first_start =
-            checker.one_of(
-                "--first-start", text.m_first_start, boolean_values) == "true",
-        .m_log_level =
-            checker.one_of("--log-level", text.m_log_level, log_levels),
-        .m_probe_interval = milliseconds{checker.whole_number(
-            "--probe-interval-ms", text.m_probe_interval_ms, probe_ms_bounds)},
-        .m_cold_overage = checker.real_number(
-            "--cold-overage", text.m_cold_overage, overage_bounds),
-        .m_cold_slack = checker.real_number(
-            "--cold-slack", text.m_cold_slack, slack_bounds),
-        .m_address_reuse = std::chrono::seconds{checker.whole_number(
-            "--address-reuse-s", text.m_address_reuse_s, reuse_s_bounds)},
-        .m_retry_ratio = checker.real_number(
-            "--retry-ratio", text.m_retry_ratio, ratio_bounds),
-        .m_retry_window = std::chrono::seconds{checker.whole_number(
-            "--retry-window-s", text.m_retry_window_s, window_s_bounds)},
-        .m_retry_slack = checker.real_number(
-            "--retry-slack", text.m_retry_slack, slack_bounds),
+        .m_first_start = checker.one_of_or_default(
+                             "--first-start", text.m_first_start, "false",
+                             boolean_values) == "true",
+        .m_log_level = checker.one_of_or_default(
+            "--log-level", text.m_log_level, "info", log_levels),
+        .m_probe_interval = from_ms(number(
+            "--probe-interval-ms", &mesh_settings_text::m_probe_interval_ms,
+            probe_ms_bounds)),
+        .m_cold_overage = number(
+            "--cold-overage", &mesh_settings_text::m_cold_overage,
+            overage_bounds),
+        .m_cold_slack = number(
+            "--cold-slack", &mesh_settings_text::m_cold_slack, slack_bounds),
+        .m_address_reuse = from_s(number(
+            "--address-reuse-s", &mesh_settings_text::m_address_reuse_s,
+            reuse_s_bounds)),
+        .m_retry_ratio = number(
+            "--retry-ratio", &mesh_settings_text::m_retry_ratio, ratio_bounds),
+        .m_retry_window = from_s(number(
+            "--retry-window-s", &mesh_settings_text::m_retry_window_s,
+            window_s_bounds)),
+        .m_retry_slack = number(
+            "--retry-slack", &mesh_settings_text::m_retry_slack, slack_bounds),
         .m_stop_limit = read_stop_limit(checker, text),
-        .m_link_mbps = checker.real_number(
-            "--link-mbps", text.m_link_mbps, link_mbps_bounds)};
+        .m_link_mbps = number(
+            "--link-mbps", &mesh_settings_text::m_link_mbps, link_mbps_bounds)};
     auto const peer =
         parse_endpoint(peer_address + ":" + std::to_string(ports.m_first));
     if (!peer_address.empty() && !peer)
@@ -147,7 +181,8 @@
     {
         return checker.errors();
     }
-    return settings;
+    return checked_mesh_settings{
+        .m_settings = std::move(settings), .m_replaced = checker.replaced()};
 }
 
 } // namespace hibiscustide::core::config
--- a/src/libhibiscustide/core/json_reader.cpp
+++ b/src/libhibiscustide/core/json_reader.cpp
@@ -188,6 +188,49 @@
     return number;
 }
 
+std::uint64_t json_reader::required_rounded(
+    char const* name, bounds<std::uint64_t> allowed) const
+{
+    if (find(name) == nullptr)
+    {
+        add_error(name, "is missing");
+        return allowed.m_min;
+    }
+    return rounded_or(name, allowed.m_min, allowed);
+}
+
+std::uint64_t json_reader::rounded_or(
+    char const* name, std::uint64_t default_value,
+    bounds<std::uint64_t> allowed) const
+{
+    auto const* value = find(name);
+    if (value == nullptr)
+    {
+        return default_value;
+    }
+    if (!value->isNumeric() || value->asDouble() < 0)
+    {
+        add_error(name, "must be a non-negative number");
+        return default_value;
+    }
+    auto const number = value->asDouble();
+    if (number >= static_cast<double>(allowed.m_max))
+    {
+        return allowed.m_max;
+    }
+    auto const floor = static_cast<std::uint64_t>(number);
+    bool const has_fraction = number > static_cast<double>(floor);
+    auto const least =
+        has_fraction ? std::max<std::uint64_t>(allowed.m_min, 1) : 0;
+    auto const rounded = std::max(floor, least);
+    if (rounded < allowed.m_min)
+    {
+        add_error(name, out_of_bounds_message(allowed));
+        return default_value;
+    }
+    return rounded;
+}
+
 double json_reader::required_number(
     char const* name, bounds<double> allowed) const
 {
--- a/src/libhibiscustide/core/observe/events.cpp
+++ b/src/libhibiscustide/core/observe/events.cpp
@@ -18,6 +18,7 @@
     {event::settings_reloaded, level::info, "settings_reloaded"},
     {event::settings_rejected, level::error, "settings_rejected"},
     {event::handler_failed, level::error, "handler_failed"},
+    {event::setting_replaced, level::error, "setting_replaced"},
     {event::note_accepted, level::info, "note_accepted"},
     {event::note_rejected, level::error, "note_rejected"},
     {event::note_conflict, level::error, "note_conflict"},
