--- a/src/hibnode/main.cpp
+++ b/src/hibnode/main.cpp
@@ -9,6 +9,8 @@
 #include <hibiscustide/net/event_log.hpp>
 #include <hibiscustide/net/node.hpp>
 
+#include "net/stop_signal.hpp"
+
 namespace
 {
 
@@ -108,6 +110,7 @@
     }
     auto const& settings = std::get<config::node_settings>(checked);
     net::open_event_log(settings.m_name, settings.m_log_level);
+    net::ignore_broken_pipes();
     net::node node{settings};
     if (auto const failure = node.start())
     {
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -141,6 +141,12 @@
 
 std::optional<std::string> mesh_node::implementation::start()
 {
+    // Before the first request can arrive: the default action of these signals
+    // ends the process.
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    m_signals.add(SIGHUP);
+    record_stop_signals();
     m_ready_server =
         make_server(m_settings.m_ready_listen, &implementation::answer_ready);
     m_admin_server =
@@ -152,10 +158,6 @@
     {
         return failure;
     }
-    m_signals.add(SIGTERM);
-    m_signals.add(SIGINT);
-    m_signals.add(SIGHUP);
-    record_stop_signals();
     spawn_loop(
         m_context, "signals",
         [this]
--- a/src/libhibiscustide/net/node.cpp
+++ b/src/libhibiscustide/net/node.cpp
@@ -129,6 +129,10 @@
 
 std::optional<std::string> node::implementation::start()
 {
+    // Before the first request can arrive: the default action of these signals
+    // ends the process.
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
     auto on_admin =
         [this](http_request& request, std::shared_ptr<cancel_scope> const&)
     {
@@ -151,8 +155,6 @@
             return failure;
         }
     }
-    m_signals.add(SIGTERM);
-    m_signals.add(SIGINT);
     spawn_loop(
         m_context, "signals",
         [this]
--- a/src/libhibiscustide/net/stop_signal.cpp
+++ b/src/libhibiscustide/net/stop_signal.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+void ignore_broken_pipes()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 std::optional<core::time_point> stop_signal_time() noexcept
 {
     core::time_point::rep const count = arrival;
--- a/src/libhibiscustide/net/stop_signal.hpp
+++ b/src/libhibiscustide/net/stop_signal.hpp
@@ -15,6 +15,10 @@
 /// were installed.
 void record_stop_signals();
 
+/// Makes a write to a pipe whose reader has gone fail, in place of ending the
+/// process. Standard output may be such a pipe.
+void ignore_broken_pipes();
+
 /// When the first of these signals arrived; nothing before. Handlers of an
 /// io_context may run much later, since they wait for the work in progress.
 [[nodiscard]] std::optional<core::time_point> stop_signal_time() noexcept;
