--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -699,7 +699,7 @@
 // Starts to process a request that was read, with or without its body. Returns
 // the number of the request on its connection.
 std::uint64_t http_server::start_response(
-    session_ptr const& connection, request_ptr received)
+    session_ptr const& connection, request_ptr const& received)
 {
     auto scope = std::make_shared<cancel_scope>();
     auto const sequence = connection->m_next_request++;
--- a/src/libhibiscustide/net/http_server.hpp
+++ b/src/libhibiscustide/net/http_server.hpp
@@ -131,7 +131,7 @@
         session_ptr const& connection, request_reader& reader,
         body_buffer_ptr const& body);
     std::uint64_t start_response(
-        session_ptr const& connection, request_ptr received);
+        session_ptr const& connection, request_ptr const& received);
     awaitable<void> respond(
         session_ptr connection, std::uint64_t sequence, request_ptr received,
         std::shared_ptr<cancel_scope> scope);
