--- a/src/include/hibiscustide/core/config/mesh_settings.hpp
+++ b/src/include/hibiscustide/core/config/mesh_settings.hpp
@@ -91,8 +91,8 @@
         default;
 };
 
-/// Settings, and what is wrong with those that have another value than the text
-/// states.
+/// The settings of a node, and an error for each one whose text was replaced by
+/// a default or by the nearest allowed value.
 struct checked_mesh_settings
 {
     mesh_settings m_settings;
--- a/src/include/hibiscustide/core/config/setting_checker.hpp
+++ b/src/include/hibiscustide/core/config/setting_checker.hpp
@@ -143,8 +143,8 @@
         return m_errors;
     }
 
-    /// Returns what is wrong with the settings for which another value is used,
-    /// and that value.
+    /// Returns an error for each setting whose text was replaced; it includes
+    /// the value used.
     [[nodiscard]] field_errors const& replaced() const
     {
         return m_replaced;
