Gate: a waiting request whose sender has ended no longer ends the node

All requests that such a node had accepted were lost.

Cause: abandon_queued passed the element of the map of requests to finish, whose first step removes it. The request and its handler were freed before they were used. It takes a request that waits at a gate while its sender's connection is lost for 0.4 s.

The new test in silent_peer_test ended with signal 11 in 3 of 3 runs before the change and passes in 3 of 3 after it.

Change: finish extracts the element and keeps it until it returns. The other removals from maps of the mesh were read.

--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -372,7 +372,8 @@
 void target_gate::finish(
     std::shared_ptr<active_request> const& active, run_result result)
 {
-    m_requests.erase(active->m_ticket);
+    // `active` may be the element of the map, which must last until the end.
+    auto const removed = m_requests.extract(active->m_ticket);
     stop_receiving(*active);
     if (active->m_running)
     {
