--- a/src/libhibiscustide/core/admission/transit_delay_test.cpp
+++ b/src/libhibiscustide/core/admission/transit_delay_test.cpp
@@ -15,7 +15,7 @@
 {
 
 // Frames from a sender whose clock has an offset and a rate of its own.
-struct link
+struct sender_link
 {
     // Sends a frame that takes `delay`. Returns the estimate of its delay.
     duration send(duration delay)
@@ -39,7 +39,7 @@
 // was sent, was written to its target.
 TEST_CASE("a frame that is late on a saturated link is found to be late")
 {
-    link test;
+    sender_link test;
     for (int n = 0; n < 50; ++n)
     {
         CHECK(test.send(300us) == 0ns);
@@ -62,7 +62,7 @@
     {
         for (auto const gap : {3ms, 200ms, 7'000ms, 45'000ms, 200'000ms})
         {
-            link test;
+            sender_link test;
             test.m_rate = rate;
             for (int n = 0; n < 2'000; ++n)
             {
@@ -78,7 +78,7 @@
 
 TEST_CASE("the first frame of a sender is not late")
 {
-    link test;
+    sender_link test;
     CHECK(test.send(5s) == 0ns);
     test.m_now += 6s;
     // A lower difference replaces the first one at once.
@@ -90,7 +90,7 @@
 // Frames of an earlier connection can arrive behind those of a later one.
 TEST_CASE("frames out of order have the delay of their own")
 {
-    link test;
+    sender_link test;
     CHECK(test.send(1ms) == 0ns);
     auto const earlier = test.m_now + 10ms;
     test.m_now += 500ms;
@@ -106,7 +106,7 @@
 TEST_CASE("a sender's clock that stood still causes an error for the length of "
           "the window only")
 {
-    link busy;
+    sender_link busy;
     for (int n = 0; n < 200; ++n)
     {
         static_cast<void>(busy.send(1ms));
@@ -123,7 +123,7 @@
     }
     CHECK(busy.send(1ms) == 0ns);
 
-    link sparse;
+    sender_link sparse;
     CHECK(sparse.send(1ms) == 0ns);
     sparse.m_stopped = 3s;
     sparse.m_now += 10s;
@@ -134,7 +134,7 @@
 
 TEST_CASE("a receiver's clock that stood still causes no error")
 {
-    link test;
+    sender_link test;
     CHECK(test.send(1ms) == 0ns);
     // The sender's clock has advanced further than the receiver's.
     test.m_stopped = -3s;
@@ -147,7 +147,7 @@
 // Each pair of 64 nodes exchanges a frame every few seconds only.
 TEST_CASE("a late frame is found on a link with few frames")
 {
-    link test;
+    sender_link test;
     for (int n = 0; n < 10; ++n)
     {
         CHECK(test.send(1ms) == 0ns);
