Health: a target of unknown service is no successor (ROUTE)

A node that was restarted took the first target that answered for the successor of the one in its settings, until the new one had registered. The check "is_successor" needs a target whose service was known before. One check of the test has changed: i-3 registers before i-4 replaces it.

--- a/src/include/hibiscustide/core/admission/target_health.hpp
+++ b/src/include/hibiscustide/core/admission/target_health.hpp
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 
 #include <hibiscustide/core/routing/speed.hpp>
@@ -116,8 +115,9 @@
     /// for the current one, so that a restarted target gets requests before the
     /// directory has its own entry. True if the current instance has no entry
     /// yet and answered before the address could have been reused by another
-    /// service. It then belongs to the service of the previous instance, or to
-    /// the configured service if it is the first instance.
+    /// service. It then belongs to the service of the previous instance, which
+    /// must be known in turn. The first instance belongs to the configured
+    /// service if it answered the first probe.
     [[nodiscard]] bool is_successor() const noexcept;
 
     /// The instance that answered the last probe; empty before the first
@@ -130,8 +130,12 @@
     time_point m_started_at;
     time_point m_failed_at{};
     time_point m_cold_until{};
-    std::optional<time_point> m_answered_at;
+    /// When the address certainly belonged to the service of the current
+    /// instance, if m_is_service_known.
+    time_point m_service_known_at;
     duration m_address_reuse{};
+    bool m_is_service_known = true;
+    bool m_has_answered = false;
     bool m_connect_failed = false;
     bool m_is_successor = false;
     double m_failures = 0;
--- a/src/libhibiscustide/core/admission/target_health.cpp
+++ b/src/libhibiscustide/core/admission/target_health.cpp
@@ -15,6 +15,7 @@
 
 target_health::target_health(time_point now, duration address_reuse) noexcept
     : m_started_at{now},
+      m_service_known_at{now},
       m_address_reuse{address_reuse}
 {
 }
@@ -26,14 +27,18 @@
         !answer.m_instance.empty() && answer.m_instance != m_instance;
     if (is_new)
     {
-        // The first instance is compared with the settings, which were valid
-        // when this process started.
-        auto const known_at = m_answered_at.value_or(m_started_at);
-        m_is_successor = now - known_at < m_address_reuse;
+        m_is_successor =
+            m_is_service_known && now - m_service_known_at < m_address_reuse;
+        m_is_service_known = m_is_successor;
         m_instance = answer.m_instance;
         m_failures = 0;
     }
-    m_answered_at = now;
+    // An answer without an instance id may come from another service.
+    if (!answer.m_instance.empty())
+    {
+        m_service_known_at = now;
+    }
+    m_has_answered = true;
     m_connect_failed = false;
     m_speeds.on_report(answer.m_slowness, now);
     m_cold_until = now + answer.m_warm_up_left;
@@ -45,15 +50,15 @@
     bool connect_failed, time_point /*now*/) noexcept
 {
     m_connect_failed = connect_failed;
+    // The target may have ended long before this process started, so that its
+    // address may be reused at any time.
+    m_is_service_known = m_is_service_known && m_has_answered;
 }
 
 void target_health::on_suspended(duration span) noexcept
 {
     m_started_at -= span;
-    if (m_answered_at)
-    {
-        *m_answered_at -= span;
-    }
+    m_service_known_at -= span;
 }
 
 void target_health::on_connect_failed(time_point /*now*/) noexcept
@@ -75,7 +80,7 @@
     {
         return false;
     }
-    return m_answered_at.has_value() || now - m_started_at > assumed_up_after;
+    return m_has_answered || now - m_started_at > assumed_up_after;
 }
 
 bool target_health::is_cold(time_point now) const noexcept
@@ -98,6 +103,7 @@
 void target_health::on_registered() noexcept
 {
     m_is_successor = false;
+    m_is_service_known = true;
 }
 
 bool target_health::is_successor() const noexcept
--- a/src/libhibiscustide/core/admission/target_health_test.cpp
+++ b/src/libhibiscustide/core/admission/target_health_test.cpp
@@ -86,9 +86,10 @@
     CHECK(health.is_successor());
     health.on_probe({.m_instance = "i-3"}, start + 4'400ms);
     CHECK_FALSE(health.is_successor());
-    // The instance registers and then leaves, so that its entry is removed.
+    health.on_registered();
     health.on_probe({.m_instance = "i-4"}, start + 5s);
     CHECK(health.is_successor());
+    // The instance registers and then leaves, so that its entry is removed.
     health.on_registered();
     health.on_probe({.m_instance = "i-4"}, start + 5'040ms);
     CHECK_FALSE(health.is_successor());
@@ -106,6 +107,43 @@
     CHECK_FALSE(unknown.is_successor());
 }
 
+// The target had ended before the node started. Its address may be reused at
+// any time then, and the node sent requests to a target of another service.
+TEST_CASE("an instance that starts after the node is no successor")
+{
+    for (bool const connect_failed : {true, false})
+    {
+        target_health health{start, 2s};
+        health.on_probe_failed(connect_failed, start + 10ms);
+        health.on_probe({.m_instance = "i-2"}, start + 1'400ms);
+        CHECK_FALSE(health.is_successor());
+    }
+}
+
+TEST_CASE("a restart within the address reuse time is no evidence of the "
+          "service of an instance whose predecessor's service is unknown")
+{
+    target_health health{start, 2s};
+    health.on_probe({.m_instance = "i-1"}, start);
+    health.on_probe({.m_instance = "i-2"}, start + 3s);
+    CHECK_FALSE(health.is_successor());
+    health.on_probe({.m_instance = "i-3"}, start + 3'100ms);
+    CHECK_FALSE(health.is_successor());
+    health.on_registered();
+    health.on_probe({.m_instance = "i-4"}, start + 3'200ms);
+    CHECK(health.is_successor());
+}
+
+TEST_CASE("an answer without an instance id does not prolong the time until "
+          "the address may be reused")
+{
+    target_health health{start, 2s};
+    health.on_probe({.m_instance = "i-1"}, start);
+    health.on_probe({}, start + 1'900ms);
+    health.on_probe({.m_instance = "i-2"}, start + 2'100ms);
+    CHECK_FALSE(health.is_successor());
+}
+
 TEST_CASE("the slowness that a cold target reports is not scaled again")
 {
     target_health health{start};
