--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -136,7 +136,7 @@
     protocol const& wire_protocol, node_table& nodes, target_gate& gate,
     quota_client& quotas, metrics& counts)
     : m_context{context},
-      m_options{std::move(options)},
+      m_options{options},
       m_protocol{wire_protocol},
       m_counts{counts},
       m_random{std::random_device{}()},
@@ -411,7 +411,7 @@
     run_request sent{
         .m_attempt = fields.m_attempt,
         .m_service = service,
-        .m_caller = m_options.m_service,
+        .m_caller = m_environment.m_gate.service(),
         .m_organisation = organisation == nullptr ? "" : organisation->m_name,
         .m_method = std::string{request.method_string()},
         .m_path = std::string{request.target()},
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -29,7 +29,6 @@
 /// Parameters of a dispatcher.
 struct dispatcher_options
 {
-    std::string m_service; ///< Service of the local target.
     /// The slack in these options is that of the whole fleet.
     core::retry::windowed_retry_budget_options m_retry_budget;
 };
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -76,6 +76,7 @@
            .m_limits = {.m_max_body_bytes = max_probe_body_bytes}}},
       m_probe_timer{context},
       m_directory{std::make_shared<core::directory::directory const>()},
+      m_service{m_options.m_service},
       m_health{clock_now(), m_options.m_address_reuse},
       m_suspended_time{suspended_time()}
 {
@@ -266,6 +267,17 @@
     update_entry();
 }
 
+void target_gate::set_service(std::string const& name)
+{
+    m_service = name;
+    update_entry();
+}
+
+std::string const& target_gate::service() const noexcept
+{
+    return m_service;
+}
+
 void target_gate::begin_drain()
 {
     m_draining = true;
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -37,7 +37,7 @@
 {
     core::endpoint m_target;
     std::chrono::milliseconds m_probe_interval{40};
-    std::string m_service; ///< Service of the target, from the settings.
+    std::string m_service; ///< Service of the target at the start.
     /// Request rate of a cold target, as a multiple of its published rate.
     double m_cold_overage = 1.0;
     /// Requests that a cold target may get in any one second in addition to
@@ -96,6 +96,13 @@
 
     void set_directory(core::directory::directory_ptr const& current);
 
+    /// The settings name another service of the target.
+    void set_service(std::string const& name);
+
+    /// The service of the target: that of the settings, or the one for which
+    /// the target has registered since.
+    [[nodiscard]] std::string const& service() const noexcept;
+
     /// Sets the share of the slots that the gates of the service's other
     /// targets have measured to give the highest throughput.
     void set_share_of_peers(std::optional<double> share);
@@ -149,6 +156,7 @@
         active_request const& active) const;
     void update_slots(core::time_point now);
     void update_entry();
+    void on_registered(core::directory::target const& entry);
     void on_target_ended();
     void check_suspension();
     [[nodiscard]] bool entry_matches_instance() const;
@@ -174,6 +182,8 @@
     core::directory::directory_ptr m_directory;
     /// The target's entry in the directory.
     std::optional<core::directory::target> m_entry;
+    std::string m_service;
+    std::string m_registered_instance; ///< The last that set m_service.
     std::string m_health_path;
     core::admission::admission_queue m_queue;
     core::admission::contention_model m_contention;
--- a/src/libhibiscustide/net/mesh/target_gate_state.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_state.cpp
@@ -164,7 +164,7 @@
     }
     if (answering != nullptr)
     {
-        m_health.on_registered();
+        on_registered(*answering);
     }
     m_entry = entry == nullptr ? std::nullopt : std::optional{*entry};
     if (!m_entry)
@@ -173,7 +173,7 @@
     }
     // A restarted target registers shortly after its start. Until then, it uses
     // the entry of the previous instance.
-    if (m_health.is_successor() && m_entry->m_service == m_options.m_service)
+    if (m_health.is_successor() && m_entry->m_service == m_service)
     {
         m_entry->m_instance = m_health.instance();
     }
@@ -198,6 +198,18 @@
     }
 }
 
+// The directory has an entry for the instance that answers the probes.
+void target_gate::on_registered(core::directory::target const& entry)
+{
+    m_health.on_registered();
+    bool const is_here = entry.m_address == m_options.m_target;
+    if (is_here && m_registered_instance != entry.m_instance)
+    {
+        m_registered_instance = entry.m_instance;
+        m_service = entry.m_service;
+    }
+}
+
 // Returns why the target gets no new requests like this one, or nothing if it
 // does.
 std::optional<core::reason> target_gate::refusal_reason(
--- a/src/libhibiscustide/net/mesh/traffic_thread.cpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.cpp
@@ -77,8 +77,7 @@
           counts},
       m_dispatcher{
           m_context,
-          {.m_service = settings.m_service,
-           .m_retry_budget =
+          {.m_retry_budget =
                {.m_ratio = settings.m_retry_ratio * retry_budget_share,
                 .m_window = settings.m_retry_window,
                 .m_slack = settings.m_retry_slack * retry_slack_share}},
@@ -179,6 +178,16 @@
         });
 }
 
+void traffic_thread::set_service(std::string const& name)
+{
+    asio::post(
+        m_context,
+        [this, name]
+        {
+            m_gate.set_service(name);
+        });
+}
+
 void traffic_thread::request_changes_from_seeds()
 {
     asio::post(
@@ -334,8 +343,7 @@
     m_quotas.on_status(address, status.m_target.m_open);
     if (status.m_target.m_measured_share_percent != previous_share)
     {
-        m_gate.set_share_of_peers(
-            m_nodes.measured_share_of(m_settings.m_service));
+        m_gate.set_share_of_peers(m_nodes.measured_share_of(m_gate.service()));
     }
     m_poison_detector.on_update(status.m_incarnation, status.m_crashes, now);
     auto const node = m_nodes.find(address);
--- a/src/libhibiscustide/net/mesh/traffic_thread.hpp
+++ b/src/libhibiscustide/net/mesh/traffic_thread.hpp
@@ -73,6 +73,9 @@
     /// Applies a new directory.
     void update(directory_update const& update);
 
+    /// The settings name another service of the local target.
+    void set_service(std::string const& name);
+
     /// Requests all published items from the next seed.
     void request_changes_from_seeds();
 
--- a/src/libhibiscustide/net/mesh_node.cpp
+++ b/src/libhibiscustide/net/mesh_node.cpp
@@ -359,10 +359,13 @@
         return;
     }
     set_event_level(changed->m_log_level);
-    auto with_current_level = *changed;
-    with_current_level.m_log_level = m_settings.m_log_level;
-    bool const needs_restart = with_current_level != m_settings;
     m_settings.m_log_level = changed->m_log_level;
+    if (changed->m_service != m_settings.m_service)
+    {
+        m_settings.m_service = changed->m_service;
+        m_traffic.set_service(changed->m_service);
+    }
+    bool const needs_restart = *changed != m_settings;
     log_event(
         event::settings_reloaded,
         {{"log_level", m_settings.m_log_level},
