--- a/src/include/hibiscustide/core/directory/directory.hpp
+++ b/src/include/hibiscustide/core/directory/directory.hpp
@@ -87,6 +87,11 @@
     /// entry is kept: running targets register again within this time.
     static constexpr std::chrono::milliseconds recovery_grace{2'100};
 
+    /// Longest time for which a target is kept after the removal of its entry
+    /// was read. A target may stop serving 2 s after its entry was removed, and
+    /// some of that time passes until all nodes have read the removal.
+    static constexpr std::chrono::milliseconds max_removal_grace{1'700};
+
     /// Puts a configuration into force if its version is higher than the
     /// version in force. Returns whether it did.
     bool put(configuration config);
@@ -106,6 +111,7 @@
     /// Handles a target whose entry is missing from an older copy of which the
     /// publishing service was restored. Targets write their lost entries again,
     /// so it is removed only after the recovery grace, also if it is draining.
+    /// A removal that was read before takes effect within max_removal_grace.
     void remove_missing(std::string_view instance, time_point now);
 
     /// Takes the targets of a failure domain out of service.
@@ -134,7 +140,8 @@
     void on_peer_reported_recovery(time_point now) noexcept;
 
     /// Records that the publishing service was restored from an older copy.
-    /// Starts the recovery grace. Grace periods that have begun are extended.
+    /// Starts the recovery grace. Grace periods that have begun are extended,
+    /// that of a removal up to max_removal_grace.
     void on_service_restored(time_point now);
 
     /// Removes targets whose grace period is over, and ends withdrawals
@@ -148,7 +155,16 @@
     [[nodiscard]] directory_ptr snapshot() const;
 
 private:
-    using deadlines = std::map<std::string, time_point, std::less<>>;
+    /// When a grace period ends.
+    struct grace_end
+    {
+        time_point m_until;
+        time_point m_latest = time_point::max(); ///< Limit of an extension.
+
+        void extend(time_point until) noexcept;
+    };
+
+    using deadlines = std::map<std::string, grace_end, std::less<>>;
 
     /// The latest entry of a target that was put.
     struct entry_number
--- a/src/libhibiscustide/core/directory/directory.cpp
+++ b/src/libhibiscustide/core/directory/directory.cpp
@@ -75,6 +75,11 @@
            left.m_withdrawn == right.m_withdrawn;
 }
 
+void directory_state::grace_end::extend(time_point until) noexcept
+{
+    m_until = std::max(m_until, std::min(until, m_latest));
+}
+
 bool directory_state::put(configuration config)
 {
     if (config.m_version <= m_config->m_version)
@@ -120,20 +125,22 @@
         erase(std::string{instance});
         return;
     }
-    time_point until = now + removal_grace;
+    grace_end end{
+        .m_until = now + removal_grace, .m_latest = now + max_removal_grace};
     if (m_recovered_at)
     {
-        until = std::max<time_point>(until, *m_recovered_at + recovery_grace);
+        end.extend(*m_recovered_at + recovery_grace);
     }
-    m_removal_deadlines.emplace(it->first, until);
+    m_removal_deadlines.emplace(it->first, end);
 }
 
 void directory_state::remove_missing(std::string_view instance, time_point now)
 {
     if (m_targets.contains(instance))
     {
-        m_removal_deadlines.insert_or_assign(
-            std::string{instance}, now + recovery_grace);
+        auto const [it, is_new] =
+            m_removal_deadlines.try_emplace(std::string{instance});
+        it->second.extend(now + recovery_grace);
     }
 }
 
@@ -172,7 +179,7 @@
     if (m_withdrawn.contains(failure_domain))
     {
         m_restore_deadlines.insert_or_assign(
-            failure_domain, now + recovery_grace);
+            failure_domain, grace_end{.m_until = now + recovery_grace});
     }
 }
 
@@ -200,9 +207,9 @@
     m_recovered_at = now;
     for (auto* const each : {&m_removal_deadlines, &m_restore_deadlines})
     {
-        for (auto& [name, until] : *each)
+        for (auto& [name, end] : *each)
         {
-            until = std::max<time_point>(until, now + recovery_grace);
+            end.extend(now + recovery_grace);
         }
     }
 }
@@ -211,14 +218,14 @@
 {
     std::optional<time_point> next;
     std::vector<std::string> removed;
-    for (auto const& [instance, until] : m_removal_deadlines)
+    for (auto const& [instance, end] : m_removal_deadlines)
     {
-        if (until <= now)
+        if (end.m_until <= now)
         {
             removed.push_back(instance);
             continue;
         }
-        next = std::min(next.value_or(until), until);
+        next = std::min(next.value_or(end.m_until), end.m_until);
     }
     for (auto const& instance : removed)
     {
@@ -227,13 +234,13 @@
     for (auto it = m_restore_deadlines.begin();
          it != m_restore_deadlines.end();)
     {
-        if (it->second <= now)
+        if (it->second.m_until <= now)
         {
             m_withdrawn.erase(it->first);
             it = m_restore_deadlines.erase(it);
             continue;
         }
-        next = std::min(next.value_or(it->second), it->second);
+        next = std::min(next.value_or(it->second.m_until), it->second.m_until);
         ++it;
     }
     return next;
--- a/src/libhibiscustide/core/directory/directory_test.cpp
+++ b/src/libhibiscustide/core/directory/directory_test.cpp
@@ -102,6 +102,28 @@
     CHECK(state.snapshot()->find("i-2") == nullptr);
 }
 
+// Guards against requests to a target that has left: a node was cut off, took
+// its return for a recovery of the publishing service and kept the target for
+// longer than the 2 s for which a target serves after its removal.
+TEST_CASE("no grace keeps a target for 1.8 s after its removal was read")
+{
+    for (auto const read_after : {0ms, 200ms, 1'000ms, 2'000ms})
+    {
+        directory::directory_state state;
+        state.put(make_target("i-1"));
+        CHECK(state.on_service_recovered(start - 1s, start));
+        auto const read_at = start + read_after;
+        state.remove("i-1", read_at);
+        state.on_peer_reported_recovery(read_at + 500ms);
+        state.on_service_restored(read_at + 600ms);
+        state.remove_missing("i-1", read_at + 600ms);
+        state.expire(read_at + 700ms);
+        CHECK(state.snapshot()->find("i-1") != nullptr);
+        state.expire(read_at + 1'800ms);
+        CHECK(state.snapshot()->find("i-1") == nullptr);
+    }
+}
+
 // Guards against a late removal: a read fails, the node is not the reader for
 // ten seconds and reads again just before a target is removed for good.
 TEST_CASE("a read after an old failure does not count as a recovery")
--- a/src/libhibiscustide/net/mesh/directory_sync.cpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.cpp
@@ -35,6 +35,11 @@
 // after each other are read together.
 constexpr milliseconds batching_pause{300};
 
+// The same after a recovery of the service. Targets whose entries it has
+// removed register again then, and must be known before their grace period
+// ends.
+constexpr milliseconds recovery_batching_pause{100};
+
 // Interval between requests to the seeds.
 constexpr milliseconds seed_query_interval{60};
 
@@ -179,11 +184,20 @@
             std::get_if<core::directory::item_changes>(&read);
         if (changes != nullptr && !changes->m_items.empty())
         {
-            co_await pause(batching_pause);
+            co_await pause(
+                has_recovered_recently() ? recovery_batching_pause
+                                         : batching_pause);
         }
     }
 }
 
+// Whether this node reports a recovery of the service to its peers.
+bool directory_sync::has_recovered_recently() const
+{
+    return m_recovered_at != core::time_point{} &&
+           m_recovered_at + recovery_report_time > clock_now();
+}
+
 void directory_sync::on_read(read_outcome const& read)
 {
     if (auto const* const changes =
@@ -432,8 +446,7 @@
                        m_last_read_at + max_read_age > now &&
                        m_last_read_at != core::time_point{} &&
                        m_reader_selection.should_read(now),
-        .m_recovered = m_recovered_at + recovery_report_time > now &&
-                       m_recovered_at != core::time_point{}};
+        .m_recovered = has_recovered_recently()};
     if (!(update == m_last_update))
     {
         m_last_update = update;
--- a/src/libhibiscustide/net/mesh/directory_sync.hpp
+++ b/src/libhibiscustide/net/mesh/directory_sync.hpp
@@ -102,6 +102,7 @@
     awaitable<void> compare_with_other_seeds();
     awaitable<void> expire_loop();
     awaitable<void> pause(core::duration span);
+    [[nodiscard]] bool has_recovered_recently() const;
     void on_read(read_outcome const& read);
     void on_read_succeeded(core::directory::item_changes const& changes);
     void on_read_failed(std::string const& error);
