--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -800,6 +800,12 @@
         {
             response.keep_alive(false);
         }
+        if (!response.keep_alive())
+        {
+            // A request that arrives during the write would be started, but
+            // would get no response.
+            connection->m_closing = true;
+        }
         auto const written = co_await write_response(
             connection->m_stream, response, m_options.m_write_timeout);
         ++connection->m_next_response;
--- a/src/libhibiscustide/net/http_server_test.cpp
+++ b/src/libhibiscustide/net/http_server_test.cpp
@@ -53,7 +53,8 @@
             timer.expires_after(2ms);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
-        co_return net::text_reply(net::status::ok, path);
+        co_return net::text_reply(
+            net::status::ok, path + std::string(m_padding, '.'));
     }
 
     void send(std::string const& path)
@@ -84,6 +85,7 @@
     asio::ip::tcp::socket m_client{m_context};
     std::vector<std::string> m_requested;
     std::map<std::string, bool> m_ready;
+    std::size_t m_padding = 0; ///< Bytes behind the path in each response.
     bool m_is_closed = false;
 };
 
@@ -185,6 +187,23 @@
     CHECK(test.read().find("Connection: close") != std::string::npos);
 }
 
+// Such a request would run, and its response would be lost with the connection.
+TEST_CASE("a draining server starts no request that arrives while it writes "
+          "the last response of a connection")
+{
+    constexpr std::size_t more_than_socket_buffers = 32'000'000;
+    fixture test;
+    test.m_padding = more_than_socket_buffers;
+    test.m_ready["/1"] = true;
+    test.m_ready["/2"] = true;
+    test.m_server->begin_drain();
+    test.send("/1");
+    CHECK(test.read().find("Connection: close") != std::string::npos);
+    test.send("/2");
+    test.wait();
+    CHECK(test.m_requested == std::vector<std::string>{"/1"});
+}
+
 TEST_CASE("a stopped server announces the close although a request that it "
           "does not read has arrived")
 {
