--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t max_datagram_bytes = 1'024;
 constexpr milliseconds receive_retry_delay{50};
 
+// Limit on the datagrams that are handled before other work goes on.
+constexpr int max_datagrams_in_turn = 64;
+
 // Traffic within a failure domain is free, traffic between failure domains is
 // expensive. So nodes in other failure domains get reports less often.
 constexpr core::routing::report_schedule_options same_domain_options{
@@ -141,21 +144,37 @@
             co_await pause.async_wait(no_throw);
             continue;
         }
-        auto const status = decode_status({bytes.data(), count});
-        if (status)
-        {
-            m_options.m_on_status(sender.address().to_string(), *status);
-            continue;
-        }
-        auto const received = decode_quota_message({bytes.data(), count});
-        if (received && m_options.m_on_quota_message)
+        on_datagram({bytes.data(), count}, sender);
+        // A turn of the loop takes long on a busy node. With one datagram in
+        // each turn, they would wait for seconds.
+        beast::error_code none_left;
+        for (int n = 1; n < max_datagrams_in_turn && !none_left; ++n)
         {
-            m_options.m_on_quota_message(
-                sender.address().to_string(), *received);
+            auto const next_count = m_socket.receive_from(
+                asio::buffer(bytes), sender, 0, none_left);
+            if (!none_left)
+            {
+                on_datagram({bytes.data(), next_count}, sender);
+            }
         }
     }
 }
 
+void status_exchange::on_datagram(
+    std::string_view bytes, asio::ip::udp::endpoint const& sender)
+{
+    if (auto const status = decode_status(bytes))
+    {
+        m_options.m_on_status(sender.address().to_string(), *status);
+        return;
+    }
+    auto const received = decode_quota_message(bytes);
+    if (received && m_options.m_on_quota_message)
+    {
+        m_options.m_on_quota_message(sender.address().to_string(), *received);
+    }
+}
+
 awaitable<void> status_exchange::send_loop()
 {
     while (m_socket.is_open())
--- a/src/libhibiscustide/net/mesh/status_exchange.hpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.hpp
@@ -73,6 +73,8 @@
 
 private:
     awaitable<void> receive_loop();
+    void on_datagram(
+        std::string_view bytes, asio::ip::udp::endpoint const& sender);
     awaitable<void> send_loop();
     void send_status(
         bool to_same_domain, bool to_followers, bool to_other_domains);
