Quotas: a copy of a request takes no tokens

At a slow owner, all copies of a request arrive before the first reply leaves, and each took tokens. The owner keeps its replies for 500 ms.

--- a/src/include/hibiscustide/core/quota/quota_owner.hpp
+++ b/src/include/hibiscustide/core/quota/quota_owner.hpp
@@ -5,9 +5,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include <hibiscustide/core/quota/quota_fleet.hpp>
 #include <hibiscustide/core/quota/token_bucket.hpp>
@@ -52,9 +55,15 @@
 public:
     quota_owner(quota_options options, quota_fleet const& fleet);
 
-    /// Replies to a request for tokens of an organisation with this limit.
+    /// Time for which the reply to a request is kept for its copies. A request
+    /// is sent again until 100 ms after the first time.
+    static constexpr duration reply_memory = std::chrono::milliseconds{500};
+
+    /// Replies to a request of a node for tokens of an organisation with this
+    /// limit. A copy of a request gets the same reply and takes no tokens.
     [[nodiscard]] quota_grant on_request(
-        quota_request const& request, quota_limit const& limit, time_point now);
+        std::string_view sender, quota_request const& request,
+        quota_limit const& limit, time_point now);
 
     /// Applies a change of the fleet or of the limits. `limit_of` returns the
     /// limit of an organisation; one without a limit is removed. To be called
@@ -75,6 +84,18 @@
         time_point m_promised_until{};
     };
 
+    /// Identifies a request: the hash of its sender, and its sequence.
+    using request_key = std::pair<std::uint64_t, std::uint64_t>;
+
+    struct recent_reply
+    {
+        request_key m_request;
+        time_point m_at;
+    };
+
+    [[nodiscard]] quota_grant reply_to(
+        quota_request const& request, quota_limit const& limit, time_point now);
+    void forget_old_replies(time_point now);
     [[nodiscard]] double rate_for(
         quota_role role, quota_limit const& limit, time_point now) const;
     [[nodiscard]] double capacity_for(
@@ -90,6 +111,8 @@
     quota_options m_options;
     quota_fleet const& m_fleet;
     std::map<organisation_id, entry> m_entries;
+    std::map<request_key, quota_grant> m_replies;
+    std::deque<recent_reply> m_recent; ///< Of m_replies, oldest first.
 };
 
 } // namespace hibiscustide::core::quota
--- a/src/libhibiscustide/core/quota/quota_owner.cpp
+++ b/src/libhibiscustide/core/quota/quota_owner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <hibiscustide/core/hash.hpp>
+
 namespace hibiscustide::core::quota
 {
 
@@ -37,6 +39,32 @@
 }
 
 quota_grant quota_owner::on_request(
+    std::string_view sender, quota_request const& request,
+    quota_limit const& limit, time_point now)
+{
+    forget_old_replies(now);
+    request_key const key{hash_of(sender), request.m_sequence};
+    auto const it = m_replies.find(key);
+    if (it != m_replies.end())
+    {
+        return it->second;
+    }
+    auto const reply = reply_to(request, limit, now);
+    m_replies.emplace(key, reply);
+    m_recent.push_back({.m_request = key, .m_at = now});
+    return reply;
+}
+
+void quota_owner::forget_old_replies(time_point now)
+{
+    while (!m_recent.empty() && now - m_recent.front().m_at >= reply_memory)
+    {
+        m_replies.erase(m_recent.front().m_request);
+        m_recent.pop_front();
+    }
+}
+
+quota_grant quota_owner::reply_to(
     quota_request const& request, quota_limit const& limit, time_point now)
 {
     auto const role = m_fleet.role(request.m_organisation, now);
@@ -84,6 +112,7 @@
 void quota_owner::update(
     std::function<quota_limit(organisation_id)> const& limit_of, time_point now)
 {
+    forget_old_replies(now);
     for (auto it = m_entries.begin(); it != m_entries.end();)
     {
         auto const limit = limit_of(it->first);
--- a/src/libhibiscustide/core/quota/quota_owner_test.cpp
+++ b/src/libhibiscustide/core/quota/quota_owner_test.cpp
@@ -40,14 +40,22 @@
     }
 }
 
+// Sends a request that no other one is a copy of.
+quota_grant request_token(quota_owner& owner, time_point now)
+{
+    static std::uint64_t sequence = 0;
+    return owner.on_request(
+        addresses[0], {.m_sequence = ++sequence, .m_organisation = bank}, limit,
+        now);
+}
+
 std::uint32_t granted(
     quota_owner& owner, std::uint32_t requests, time_point now)
 {
     std::uint32_t count = 0;
     for (std::uint32_t n = 0; n < requests; ++n)
     {
-        count +=
-            owner.on_request({.m_organisation = bank}, limit, now).m_granted;
+        count += request_token(owner, now).m_granted;
     }
     return count;
 }
@@ -62,8 +70,7 @@
         quota_fleet fleet{address};
         fleet.set_nodes(addresses, start);
         quota_owner owner{options, fleet};
-        auto const reply =
-            owner.on_request({.m_organisation = bank}, limit, start);
+        auto const reply = request_token(owner, start);
         bool const is_responsible = address == best[0] || address == best[1];
         CHECK((reply.m_outcome == quota_outcome::granted) == is_responsible);
         CHECK(
@@ -173,7 +180,7 @@
     fleet.set_nodes(addresses, start);
     quota_owner deputy{quota_options{}, fleet};
     CHECK(
-        deputy.on_request({.m_organisation = bank}, limit, start).m_outcome ==
+        request_token(deputy, start).m_outcome ==
         quota_outcome::not_responsible);
     quota_fleet owner_fleet{best[0]};
     owner_fleet.set_nodes(addresses, start);
@@ -182,14 +189,40 @@
     CHECK(granted(owner, 50, start + 1s) == 10);
 }
 
+// A slow owner gets the copies of a request together.
+TEST_CASE("a copy of a request gets the same reply and takes no token")
+{
+    quota_fleet fleet{ranking(bank)[0]};
+    fleet.set_nodes(addresses, start);
+    quota_owner owner{options, fleet};
+    quota_request const request{
+        .m_sequence = 7, .m_organisation = bank, .m_wanted = 2};
+    auto const reply = owner.on_request(addresses[0], request, limit, start);
+    CHECK(reply.m_granted == 1);
+    for (int copies = 0; copies < 3; ++copies)
+    {
+        CHECK(owner.on_request(addresses[0], request, limit, start) == reply);
+    }
+    // Another node counts its requests from the same number.
+    CHECK(
+        owner.on_request(addresses[1], request, limit, start).m_outcome ==
+        quota_outcome::granted);
+    CHECK(granted(owner, 50, start) == 1);
+    CHECK(
+        owner
+            .on_request(
+                addresses[0], request, limit, start + quota_owner::reply_memory)
+            .m_outcome == quota_outcome::granted);
+}
+
 TEST_CASE("requests that are refused get different times to return")
 {
     quota_fleet fleet{ranking(bank)[0]};
     fleet.set_nodes(addresses, start);
     quota_owner owner{options, fleet};
     CHECK(granted(owner, 3, start) == 3);
-    auto const first = owner.on_request({.m_organisation = bank}, limit, start);
-    auto const next = owner.on_request({.m_organisation = bank}, limit, start);
+    auto const first = request_token(owner, start);
+    auto const next = request_token(owner, start);
     CHECK(first.m_outcome == quota_outcome::exhausted);
     CHECK(first.m_retry_after_ms == 100);
     CHECK(next.m_retry_after_ms == 200);
--- a/src/libhibiscustide/core/quota/quota_replay_test.cpp
+++ b/src/libhibiscustide/core/quota/quota_replay_test.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 #include <doctest/doctest.h>
 
@@ -284,6 +285,8 @@
     bool m_is_partitioned = false;
     bool m_is_link_cut = false; ///< Between the first two failure domains.
     std::size_t m_cut_domains = 1;
+    std::set<std::size_t> m_slow_nodes;
+    bool m_is_slow = false; ///< Whether messages wait at the slow nodes.
     time_point m_now{1h};
     std::size_t m_messages = 0;
 
@@ -335,7 +338,12 @@
         {
             return;
         }
-        auto const after = from == to ? duration{} : delay(from, to);
+        auto after = from == to ? duration{} : delay(from, to);
+        if (from != to && m_is_slow && m_slow_nodes.contains(to))
+        {
+            after +=
+                20ms + std::chrono::duration_cast<duration>(100ms * uniform());
+        }
         at(m_now + after,
            [this, from, to, run = std::move(run)]
            {
@@ -506,7 +514,8 @@
             [this, at_node, to, message = wait->m_message](node& receiver)
             {
                 auto const reply = receiver.m_owner.on_request(
-                    message, limit(message.m_organisation), m_now);
+                    m_addresses[at_node], message,
+                    limit(message.m_organisation), m_now);
                 send(
                     to, at_node,
                     [this, at_node, to, reply](node&)
@@ -663,6 +672,49 @@
     }
 }
 
+// Datagrams wait at nodes that have a small share of their processor. Requests
+// for tokens are sent again meanwhile, and each copy took tokens.
+TEST_CASE("replay of quotas: owners are slow for 6 s")
+{
+    for (auto const peak : {1.0, peak_ratio})
+    {
+        for (auto const seed : seeds)
+        {
+            replay fleet{seed};
+            fleet.m_peaks[3] = peak_ratio;
+            for (std::size_t n = 0; n < 9; ++n)
+            {
+                fleet.m_slow_nodes.insert((n * 7 + 3) % node_count);
+            }
+            fleet.at(
+                start + 8s,
+                [&]
+                {
+                    set_peaks(fleet, peak);
+                });
+            fleet.at(
+                start + 12s,
+                [&]
+                {
+                    fleet.m_is_slow = true;
+                });
+            fleet.at(
+                start + 18s,
+                [&]
+                {
+                    fleet.m_is_slow = false;
+                });
+            fleet.run_until(start + 25s);
+            INFO(fleet.describe(
+                peak > 1 ? "slow owners, all over quota" : "slow owners",
+                start + 12s, start + 18s));
+            CHECK(fleet.max_excess() <= 0);
+            CHECK(fleet.admitted(start + 12s, start + 18s).m_all >= 0.97);
+            CHECK(fleet.admitted(start + 12s, start + 18s).m_worst >= 0.85);
+        }
+    }
+}
+
 // With the directory unchanged, and with the cut-off nodes removed from the
 // directory of the others: then both sides have an owner.
 TEST_CASE("replay of quotas: failure domains are cut off for 6 s")
--- a/src/libhibiscustide/net/mesh/quota_client.cpp
+++ b/src/libhibiscustide/net/mesh/quota_client.cpp
@@ -89,9 +89,10 @@
     void operator()(quota_request const& request) const
     {
         m_client.m_options.m_send(
-            m_address, m_client.m_owner.on_request(
-                           request, m_client.limit_of(request.m_organisation),
-                           clock_now()));
+            m_address,
+            m_client.m_owner.on_request(
+                m_address, request, m_client.limit_of(request.m_organisation),
+                clock_now()));
     }
 
     void operator()(quota_grant const& grant) const
@@ -249,8 +250,9 @@
         }
         auto const now = clock_now();
         auto const request = wait->m_message;
-        auto const grant =
-            m_owner.on_request(request, limit_of(request.m_organisation), now);
+        auto const grant = m_owner.on_request(
+            m_options.m_address, request, limit_of(request.m_organisation),
+            now);
         auto next = m_share.on_grant(m_options.m_address, grant, now);
         if (!next)
         {
