Health: failures that failed calls explain don't count

A request whose call was refused ends with a 500 of its own target.

The new case of target_gate_test fails without the change.

--- a/src/libhibiscustide/net/http_server.cpp
+++ b/src/libhibiscustide/net/http_server.cpp
@@ -71,6 +71,12 @@
           m_response_written{m_stream.get_executor()},
           m_body_room{m_stream.get_executor()}
     {
+        beast::error_code error;
+        auto const client = m_stream.socket().remote_endpoint(error);
+        if (!error)
+        {
+            m_client_address = client.address().to_string();
+        }
         m_response_written.expires_at(asio::steady_timer::time_point::max());
         m_body_room.expires_at(asio::steady_timer::time_point::max());
     }
@@ -123,6 +129,7 @@
     }
 
     beast::tcp_stream m_stream;
+    std::string m_client_address; ///< Empty if it has disconnected already.
     beast::flat_buffer m_buffer;
     core::admission::buffer_quota::share m_buffer_share;
     /// Cancelled after each written response, to resume waiting coroutines.
@@ -557,6 +564,7 @@
         co_return false;
     }
     auto& request = received->m_message;
+    request.m_client_address = connection->m_client_address;
     bool const keep_alive = request.keep_alive();
     bool const must_permit = is_continue_expected(request);
     bool const is_short =
--- a/src/libhibiscustide/net/http_types.hpp
+++ b/src/libhibiscustide/net/http_types.hpp
@@ -58,6 +58,10 @@
 
     /// In the order of their arrival, behind all other fields.
     header_fields m_long_fields;
+
+    /// IP address of the client. Set in requests that an http_server with a
+    /// streaming handler has received.
+    std::string m_client_address;
 };
 
 using http_response = beast::http::response<beast::http::string_body>;
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -87,6 +87,9 @@
 
 constexpr std::string_view authorization = "Authorization";
 
+// Responses with a status from this on are failures.
+constexpr std::uint32_t first_failure_status = 500;
+
 // The values of all fields Authorization, in any order.
 std::vector<std::string_view> authorization_of(http_request const& request)
 {
@@ -255,6 +258,13 @@
     auto const verdict = to_verdict(end.m_result);
     m_counts.observe_call(verdict, took);
     auto const why = reason_of(verdict);
+    bool const has_failed = end.m_result.m_outcome != outcome::answered ||
+                            end.m_result.m_status >= first_failure_status;
+    if (has_failed && why != core::reason::caller_left &&
+        m_environment.m_gate.is_target(request.m_client_address))
+    {
+        m_environment.m_gate.on_call_failed();
+    }
     log_event(
         event::request_ended,
         {{"request", fields.m_attempt},
--- a/src/libhibiscustide/net/mesh/target_gate.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate.cpp
@@ -278,6 +278,16 @@
     return m_service;
 }
 
+bool target_gate::is_target(std::string const& address) const noexcept
+{
+    return address == m_options.m_target.m_address;
+}
+
+void target_gate::on_call_failed()
+{
+    m_failed_calls.on_call_failed(clock_now());
+}
+
 void target_gate::begin_drain()
 {
     m_draining = true;
--- a/src/libhibiscustide/net/mesh/target_gate.hpp
+++ b/src/libhibiscustide/net/mesh/target_gate.hpp
@@ -16,6 +16,7 @@
 #include <hibiscustide/core/admission/admission_queue.hpp>
 #include <hibiscustide/core/admission/cold_rate_limiter.hpp>
 #include <hibiscustide/core/admission/contention_model.hpp>
+#include <hibiscustide/core/admission/failed_calls.hpp>
 #include <hibiscustide/core/admission/poison_request_detector.hpp>
 #include <hibiscustide/core/admission/target_health.hpp>
 #include <hibiscustide/core/directory/directory.hpp>
@@ -107,6 +108,12 @@
     /// targets have measured to give the highest throughput.
     void set_share_of_peers(std::optional<double> share);
 
+    /// Whether requests from this IP address are calls of the local target.
+    [[nodiscard]] bool is_target(std::string const& address) const noexcept;
+
+    /// A call that the local target made through this node has failed.
+    void on_call_failed();
+
     /// Refuses all new and waiting requests, because the node is stopping.
     void begin_drain();
 
@@ -189,6 +196,7 @@
     core::admission::contention_model m_contention;
     core::admission::cold_rate_limiter m_cold_limiter;
     core::admission::target_health m_health;
+    core::admission::failed_calls m_failed_calls;
     std::map<ticket, std::shared_ptr<active_request>> m_requests;
     std::function<void()> m_on_change;
     std::function<void()> m_on_crash;
--- a/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_exchange.cpp
@@ -231,9 +231,15 @@
             .m_reason = core::reason::answer_mismatched,
             .m_reached_target = true};
     }
-    record_outcome(
-        active,
-        status >= 500 ? target_outcome::failed : target_outcome::answered);
+    bool const is_failure = status >= 500;
+    bool const is_explained =
+        is_failure && m_failed_calls.explains_failure(clock_now());
+    if (!is_explained)
+    {
+        record_outcome(
+            active,
+            is_failure ? target_outcome::failed : target_outcome::answered);
+    }
     m_poison_detector.on_answered(active.m_fingerprint, clock_now());
     auto const now = clock_now();
     auto const took = now - active.m_started_at;
--- a/src/libhibiscustide/net/mesh/target_gate_test.cpp
+++ b/src/libhibiscustide/net/mesh/target_gate_test.cpp
@@ -1,5 +1,5 @@
-// The gate of a node whose target is replaced, by one of its own service or of
-// another.
+// The gate of a node whose target fails requests, or is replaced by one of its
+// own service or of another.
 #include "net/mesh/target_gate.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -95,8 +95,10 @@
                       std::shared_ptr<net::cancel_scope> const& /*scope*/)
                       -> net::awaitable<net::http_response>
                   {
-                      m_runs += request.target() == "/health" ? 0 : 1;
-                      auto response = net::text_reply(net::status::ok, "");
+                      bool const is_run = request.target() != "/health";
+                      m_runs += is_run ? 1 : 0;
+                      auto response = net::text_reply(
+                          is_run ? m_status : net::status::ok, "");
                       response.set(instance_field, instance);
                       co_return response;
                   }},
@@ -112,6 +114,12 @@
         m_server->close_idle();
     }
 
+    // Requests end with a status 500 from now on, health checks are good.
+    void fail_requests()
+    {
+        m_status = net::status::internal_server_error;
+    }
+
     [[nodiscard]] int runs() const noexcept
     {
         return m_runs;
@@ -119,6 +127,7 @@
 
 private:
     int m_runs = 0;
+    net::status m_status = net::status::ok;
     std::shared_ptr<net::http_server> m_server;
 };
 
@@ -225,3 +234,25 @@
     test.m_gate.set_directory(registered);
     CHECK(test.m_gate.service() == "billing");
 }
+
+// Requests whose calls were refused by a full service ended with 500. Their
+// targets were taken for unhealthy, and requests went to other failure domains.
+TEST_CASE("failures after failed calls of the target leave its health "
+          "unchanged, others do not")
+{
+    fixture test;
+    counting_target target{test.m_context, "i-first"};
+    target.fail_requests();
+    test.wait();
+    CHECK(test.m_gate.is_target(target_address.m_address));
+    CHECK_FALSE(test.m_gate.is_target("127.16.0.7"));
+    for (int n = 0; n < 3; ++n)
+    {
+        test.m_gate.on_call_failed();
+        CHECK(test.is_run("booking"));
+    }
+    CHECK(target.runs() == 3);
+    CHECK(test.m_gate.report().m_failure_percent == 0);
+    CHECK(test.is_run("booking"));
+    CHECK(test.m_gate.report().m_failure_percent > 0);
+}
