--- a/src/include/hibiscustide/core/routing/report_schedule.hpp
+++ b/src/include/hibiscustide/core/routing/report_schedule.hpp
@@ -35,6 +35,24 @@
     bool m_defer_speed_and_load = false;
 };
 
+/// The schedules in force. Traffic within a failure domain is free, traffic
+/// between failure domains is expensive, so nodes in other failure domains get
+/// reports less often.
+inline constexpr report_schedule_options same_domain_reports{
+    .m_min_slowness_ratio = 1.1,
+    .m_min_load_change = 0.1,
+    .m_min_interval = std::chrono::milliseconds{15},
+    .m_max_interval = std::chrono::milliseconds{400}};
+inline constexpr report_schedule_options follower_reports{
+    .m_min_slowness_ratio = 1.4,
+    .m_min_load_change = 0.3,
+    .m_min_interval = std::chrono::milliseconds{20},
+    .m_max_interval = std::chrono::milliseconds{1'500}};
+inline constexpr report_schedule_options other_domain_reports{
+    .m_min_interval = std::chrono::milliseconds{20},
+    .m_max_interval = std::chrono::milliseconds{1'500},
+    .m_defer_speed_and_load = true};
+
 /// The schedule of reports to one group of receivers. A node has three groups:
 /// the nodes of its own failure domain, its followers in other failure domains
 /// (see is_follower), and all nodes of other failure domains. Not thread-safe.
--- a/src/libhibiscustide/net/mesh/status_exchange.cpp
+++ b/src/libhibiscustide/net/mesh/status_exchange.cpp
@@ -22,23 +22,6 @@
 // Limit on the datagrams that are handled before other work goes on.
 constexpr int max_datagrams_in_turn = 64;
 
-// Traffic within a failure domain is free, traffic between failure domains is
-// expensive. So nodes in other failure domains get reports less often.
-constexpr core::routing::report_schedule_options same_domain_options{
-    .m_min_slowness_ratio = 1.1,
-    .m_min_load_change = 0.1,
-    .m_min_interval = milliseconds{15},
-    .m_max_interval = milliseconds{400}};
-constexpr core::routing::report_schedule_options follower_options{
-    .m_min_slowness_ratio = 1.4,
-    .m_min_load_change = 0.3,
-    .m_min_interval = milliseconds{20},
-    .m_max_interval = milliseconds{1'500}};
-constexpr core::routing::report_schedule_options other_domain_options{
-    .m_min_interval = milliseconds{20},
-    .m_max_interval = milliseconds{1'500},
-    .m_defer_speed_and_load = true};
-
 } // namespace
 
 status_exchange::status_exchange(
@@ -49,9 +32,9 @@
       m_nodes{nodes},
       m_socket{context},
       m_timer{context},
-      m_same_domain_schedule{same_domain_options},
-      m_follower_schedule{follower_options},
-      m_other_domain_schedule{other_domain_options}
+      m_same_domain_schedule{core::routing::same_domain_reports},
+      m_follower_schedule{core::routing::follower_reports},
+      m_other_domain_schedule{core::routing::other_domain_reports}
 {
     m_status.m_incarnation = m_options.m_incarnation;
     m_status.m_domain_hash = nodes.domain_hash();
