Retry-After lies before the caller's deadline

A refusal named the time at which capacity is expected, also when that was after the deadline: with a deadline of 600 ms and capacity in 800 ms it said 0.8 s. It names a quarter to a third of the time left then, or nothing if less than 60 ms are left.

The new case of retry_after_test fails without the change.

--- a/src/include/hibiscustide/core/retry/retry_after.hpp
+++ b/src/include/hibiscustide/core/retry/retry_after.hpp
@@ -28,7 +28,10 @@
     duration m_capacity_expected_in{};
     duration m_usual_work{};     ///< Usual processing time.
     duration m_objective_left{}; ///< Until the answer is late.
-    duration m_deadline_left{};  ///< Until the caller stops waiting.
+    duration m_deadline_left{};  ///< Until the deadline of this request.
+    /// Until the caller stops waiting. The route may have a shorter timeout, so
+    /// this is at least m_deadline_left.
+    duration m_caller_left{};
     /// Whether it was refused because the targets have too much work.
     bool m_overloaded = true;
 };
@@ -40,7 +43,10 @@
 /// A caller that can still get its answer in time retries once capacity is
 /// expected, at least after min_retry_after. For any other caller of an
 /// overloaded service, there is room after the burst that caused the refusal,
-/// so it waits for nearly max_wait_share of the time that it has left.
+/// so it waits for nearly max_wait_share of the time that it has left. So does
+/// a caller that stops waiting before capacity is expected: the result is
+/// always less than m_caller_left. Zero if even max_wait_share of that time is
+/// less than min_retry_after; a retry is not worthwhile then.
 [[nodiscard]] std::chrono::milliseconds compute_retry_after(
     refusal const& refused, double jitter) noexcept;
 
--- a/src/libhibiscustide/core/admission/delay_cost_replay_test.cpp
+++ b/src/libhibiscustide/core/admission/delay_cost_replay_test.cpp
@@ -1174,7 +1174,8 @@
             {.m_capacity_expected_in = expected,
              .m_usual_work = m_usual_work[sent->m_kind],
              .m_objective_left = sent->m_objective - m_now,
-             .m_deadline_left = sent->m_deadline - m_now},
+             .m_deadline_left = sent->m_deadline - m_now,
+             .m_caller_left = sent->m_deadline - m_now},
             uniform(m_random));
         bool const returns = !is_call && sent->m_returns++ < max_returns &&
                              m_now + after < sent->m_deadline;
--- a/src/libhibiscustide/core/retry/retry_after.cpp
+++ b/src/libhibiscustide/core/retry/retry_after.cpp
@@ -24,11 +24,16 @@
     bool const is_late =
         refused.m_overloaded &&
         earliest + refused.m_usual_work > seconds{refused.m_objective_left};
-    auto const wait =
-        is_late
-            ? std::max(earliest, longest * (1.0 - late_spread_share * jitter))
-            : earliest * (1.0 + max_jitter_share * jitter);
-    return std::chrono::duration_cast<milliseconds>(wait);
+    seconds const caller_left = refused.m_caller_left;
+    if (caller_left * max_wait_share < min_retry_after)
+    {
+        return milliseconds{};
+    }
+    double const spread = 1.0 - late_spread_share * jitter;
+    auto const wait = is_late ? std::max(earliest, longest * spread)
+                              : earliest * (1.0 + max_jitter_share * jitter);
+    return std::chrono::duration_cast<milliseconds>(
+        wait < caller_left ? wait : caller_left * max_wait_share * spread);
 }
 
 } // namespace hibiscustide::core::retry
--- a/src/libhibiscustide/core/retry/retry_after_test.cpp
+++ b/src/libhibiscustide/core/retry/retry_after_test.cpp
@@ -18,7 +18,8 @@
         .m_capacity_expected_in = capacity_expected_in,
         .m_usual_work = 100ms,
         .m_objective_left = 1'500ms,
-        .m_deadline_left = 6s};
+        .m_deadline_left = 6s,
+        .m_caller_left = 6s};
 }
 
 } // namespace
@@ -49,6 +50,31 @@
     CHECK(retry::compute_retry_after(late, 0.0) == 3'000ms);
 }
 
+// With a deadline of 600 ms, refusals named times after it: a cold service
+// expects capacity later than that.
+TEST_CASE("the time after which a caller should retry lies before its deadline")
+{
+    auto refused = make_refusal(800ms);
+    refused.m_objective_left = 250ms;
+    for (auto const deadline_left : {600ms, 300ms, 120ms})
+    {
+        refused.m_deadline_left = deadline_left / 2;
+        refused.m_caller_left = deadline_left;
+        for (bool const overloaded : {true, false})
+        {
+            refused.m_overloaded = overloaded;
+            CHECK(
+                retry::compute_retry_after(refused, 0.0) == deadline_left / 3);
+            CHECK(
+                retry::compute_retry_after(refused, 1.0) == deadline_left / 4);
+        }
+    }
+    refused.m_caller_left = 59ms;
+    CHECK(retry::compute_retry_after(refused, 0.0) == 0ms);
+    refused.m_caller_left = -1ms;
+    CHECK(retry::compute_retry_after(refused, 0.0) == 0ms);
+}
+
 TEST_CASE("replay of a burst: callers refused together retry spread over time")
 {
     constexpr std::size_t callers = 1'000;
--- a/src/libhibiscustide/core/routing/overload_replay_test.cpp
+++ b/src/libhibiscustide/core/routing/overload_replay_test.cpp
@@ -531,7 +531,8 @@
             {.m_capacity_expected_in = expected,
              .m_usual_work = usual_work,
              .m_objective_left = sent->m_objective - m_now,
-             .m_deadline_left = sent->m_first_at + deadline - m_now},
+             .m_deadline_left = sent->m_first_at + deadline - m_now,
+             .m_caller_left = sent->m_first_at + deadline - m_now},
             uniform());
         at(m_now + after,
            [this, sent]
--- a/src/libhibiscustide/net/mesh/dispatcher.cpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.cpp
@@ -208,6 +208,8 @@
     call_times const times{
         .m_objective = options.m_objective,
         .m_deadline = options.m_deadline,
+        .m_caller_deadline = options.m_began_at +
+                             fields.m_deadline_left.value_or(default_deadline),
         .m_usual_work = options.m_usual_work};
     auto const began_at = options.m_began_at;
     auto const version = options.m_config_version;
@@ -569,6 +571,7 @@
         .m_usual_work = times.m_usual_work,
         .m_objective_left = times.m_objective - now,
         .m_deadline_left = times.m_deadline - now,
+        .m_caller_left = times.m_caller_deadline - now,
         .m_overloaded = is_overload(result.m_reason)};
     return make_error_reply(
         status::service_unavailable, attempt, result.m_reason,
--- a/src/libhibiscustide/net/mesh/dispatcher.hpp
+++ b/src/libhibiscustide/net/mesh/dispatcher.hpp
@@ -87,6 +87,7 @@
     {
         core::time_point m_objective;
         core::time_point m_deadline;
+        core::time_point m_caller_deadline; ///< When the caller stops waiting.
         core::duration m_usual_work{};
     };
 
