Quotas: a request of another organisation is no copy

A node that restarts counts its requests from 1. Within 500 ms, the owner could have taken one for a copy of an earlier request of another organisation. The test used a number that other requests of the test had when it ran alone.

--- a/src/include/hibiscustide/core/quota/quota_owner.hpp
+++ b/src/include/hibiscustide/core/quota/quota_owner.hpp
@@ -84,7 +84,8 @@
         time_point m_promised_until{};
     };
 
-    /// Identifies a request: the hash of its sender, and its sequence.
+    /// Identifies a request: the hash of its sender and organisation, and its
+    /// sequence.
     using request_key = std::pair<std::uint64_t, std::uint64_t>;
 
     struct recent_reply
--- a/src/libhibiscustide/core/quota/quota_owner.cpp
+++ b/src/libhibiscustide/core/quota/quota_owner.cpp
@@ -43,7 +43,9 @@
     quota_limit const& limit, time_point now)
 {
     forget_old_replies(now);
-    request_key const key{hash_of(sender), request.m_sequence};
+    // A node that restarts counts its requests from the beginning.
+    request_key const key{
+        hash_of(sender, request.m_organisation), request.m_sequence};
     auto const it = m_replies.find(key);
     if (it != m_replies.end())
     {
--- a/src/libhibiscustide/core/quota/quota_owner_test.cpp
+++ b/src/libhibiscustide/core/quota/quota_owner_test.cpp
@@ -195,8 +195,9 @@
     quota_fleet fleet{ranking(bank)[0]};
     fleet.set_nodes(addresses, start);
     quota_owner owner{options, fleet};
+    // Far from the numbers of request_token().
     quota_request const request{
-        .m_sequence = 7, .m_organisation = bank, .m_wanted = 2};
+        .m_sequence = 1'000'000, .m_organisation = bank, .m_wanted = 2};
     auto const reply = owner.on_request(addresses[0], request, limit, start);
     CHECK(reply.m_granted == 1);
     for (int copies = 0; copies < 3; ++copies)
@@ -208,6 +209,12 @@
         owner.on_request(addresses[1], request, limit, start).m_outcome ==
         quota_outcome::granted);
     CHECK(granted(owner, 50, start) == 1);
+    // The sender has restarted and asks for an organisation without a limit.
+    auto other = request;
+    other.m_organisation = make_organisation_id("grocer");
+    CHECK(
+        owner.on_request(addresses[0], other, {}, start).m_outcome ==
+        quota_outcome::not_responsible);
     CHECK(
         owner
             .on_request(
